Gateway on the users' platform: the whole path, thin

New libraries, each pure or behind an interface: catalog, quota, dispatch, program, recordlog, fleet, call, gateway; names of the wire stand in platform/ alone.

--- a/daemon/main/tanagerseamd.cc
+++ b/daemon/main/tanagerseamd.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 
 #include "daemon/daemon.h"
+#include "daemon/gateway_process.h"
 
 ABSL_FLAG(std::string, config, "", "INI file of this daemon's settings");
 ABSL_FLAG(bool, check, false, "check the settings, print findings and exit");
@@ -42,6 +43,31 @@
   }
 }
 
+// The daemon as a gateway on the users' platform.
+int
+RunGateway(const std::string& aPath)
+{
+  tanagerseam::Findings findings;
+  auto settings = tanagerseam::ParseGatewaySettings(aPath, findings);
+  if (!findings.Empty()) {
+    std::cerr << findings.Text();
+    return kExitFindings;
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    return 0;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  tanagerseam::ConfigureLog(settings.logLevel, settings.host);
+  try {
+    tanagerseam::GatewayProcess process(std::move(settings), aPath);
+    process.Run();
+  } catch (const std::exception& error) {
+    tanagerseam::LogError("cannot_run", { { "error", error.what() } });
+    return kExitCannotStart;
+  }
+  return 0;
+}
+
 } // namespace
 
 int
@@ -54,6 +80,9 @@
     std::cerr << "tanagerseamd: --config=FILE is needed\n";
     return kExitUsage;
   }
+  if (tanagerseam::HasGatewaySection(path)) {
+    return RunGateway(path);
+  }
   tanagerseam::Findings findings;
   const auto settings = tanagerseam::ParseDaemonSettings(path, findings);
   if (!findings.Empty()) {
--- /dev/null
+++ b/gateway/call_admission.cc
@@ -0,0 +1,227 @@
+// The steps of a call up to its placement.
+#include <algorithm>
+
+#include "gateway/call_flow.h"
+
+namespace tanagerseam {
+
+namespace {
+
+// Without X-Deadline-Ms and a shorter limit of the route.
+constexpr Millis kLongestCall(600000);
+
+} // namespace
+
+void
+CallFlow::Start()
+{
+  this->reply->OnGone([weak = this->weak_from_this()] {
+    if (auto self = weak.lock()) {
+      self->OnClientGone();
+    }
+  });
+  if (!this->FindRoute() || !this->CheckKey() || !this->TakeQuota()) {
+    return;
+  }
+  this->timer.expires_after(this->TimeLeft());
+  this->timer.async_wait([self = this->shared_from_this()](const auto& aError) {
+    if (!aError) {
+      self->OnTimeUp();
+    }
+  });
+  this->LoadHistory();
+}
+
+bool
+CallFlow::FindRoute()
+{
+  GatewayState& shared = this->state;
+  this->catalog = shared.catalog;
+  if (!this->catalog || !shared.CatalogFresh(this->arrivedAt)) {
+    this->RefuseUntil(RefusalReason::kNotReady,
+                      "the configuration is not confirmed",
+                      this->ComeBackAfter());
+    return false;
+  }
+  this->route =
+    this->catalog->FindRoute(this->call.host, this->call.target);
+  if (this->route == nullptr) {
+    this->Refuse(RefusalReason::kUnknownRoute, "no route matches");
+    return false;
+  }
+  const Millis asked = this->call.timeLeft.value_or(kLongestCall);
+  this->deadline =
+    this->arrivedAt + std::min({ asked, this->route->timeout, kLongestCall });
+  std::uniform_real_distribution<double> draw(0, 1);
+  this->service = ChooseService(*this->route, draw(shared.random));
+  const ServiceEntry* entry = this->catalog->FindService(this->service);
+  this->tokensPerEvent = entry == nullptr ? 0 : entry->tokensPerEvent;
+  this->priority = this->route->priority;
+  return true;
+}
+
+bool
+CallFlow::CheckKey()
+{
+  if (this->route->open || !this->catalog->AsksForKeys()) {
+    return true;
+  }
+  if (this->call.key.empty()) {
+    this->Refuse(RefusalReason::kKeyMissing, "no key came");
+    return false;
+  }
+  this->organisation = this->catalog->FindOrganisation(this->call.key);
+  if (this->organisation == nullptr) {
+    this->Refuse(RefusalReason::kKeyUnknown, "the key is not known");
+    return false;
+  }
+  this->priority = this->organisation->priority.value_or(this->priority);
+  return true;
+}
+
+// Calls of tools come from programs that have begun.
+bool
+CallFlow::BeginsProgram() const
+{
+  return this->call.program && this->route->kind == CallKind::kStream &&
+         this->call.program->previousTurn.empty() &&
+         this->state.programs.count(this->programKey) == 0;
+}
+
+bool
+CallFlow::TakeQuota()
+{
+  const std::string name =
+    this->organisation == nullptr ? "" : this->organisation->name;
+  if (this->call.program) {
+    this->programKey = name + "/" + this->call.program->id;
+  }
+  if (this->organisation == nullptr) {
+    return true;
+  }
+  const QuotaUse use =
+    this->BeginsProgram() ? QuotaUse::kBegin : QuotaUse::kContinue;
+  if (this->state.quota.Admit(name, use, this->arrivedAt)) {
+    this->quotaTaken = true;
+    return true;
+  }
+  this->RefuseUntil(RefusalReason::kRateExceeded,
+                    "the organisation's rate is used up",
+                    this->ComeBackAfter());
+  return false;
+}
+
+void
+CallFlow::LoadHistory()
+{
+  if (!this->route->keepsHistory || !this->call.program ||
+      this->call.program->previousTurn.empty()) {
+    this->ReserveTokens();
+    return;
+  }
+  const std::string name =
+    this->organisation == nullptr ? "" : this->organisation->name;
+  this->state.history.Find(
+    name,
+    this->call.program->previousTurn,
+    this->deadline,
+    [self = this->shared_from_this()](const HistoryResult& aFound) {
+      if (self->ended) {
+        return;
+      }
+      if (const auto* transcript = std::get_if<Transcript>(&aFound)) {
+        self->before = *transcript;
+        self->ReserveTokens();
+      } else if (std::get<HistoryMiss>(aFound) == HistoryMiss::kNoSuchTurn) {
+        self->Refuse(RefusalReason::kProgramNotFound,
+                     "the previous turn is not known");
+      } else {
+        self->RefuseUntil(RefusalReason::kLogUnavailable,
+                          "the previous turn can't be read now",
+                          self->ComeBackAfter());
+      }
+    });
+}
+
+void
+CallFlow::ReserveTokens()
+{
+  const bool counted = this->route->kind == CallKind::kStream &&
+                       this->call.program && this->call.program->tokenBudget;
+  if (!counted) {
+    this->Place();
+    return;
+  }
+  const int64_t most = std::max<int64_t>(this->call.outputTokens, 1);
+  this->state.budgets.Reserve(
+    this->programKey,
+    *this->call.program->tokenBudget,
+    most,
+    this->deadline,
+    [self = this->shared_from_this(), most](BudgetVerdict aVerdict) {
+      if (self->ended) {
+        if (aVerdict == BudgetVerdict::kReserved) {
+          self->state.budgets.Settle(self->programKey, most, 0);
+        }
+        return;
+      }
+      if (aVerdict == BudgetVerdict::kReserved) {
+        self->reserved = most;
+        self->hasReservation = true;
+        self->Place();
+      } else if (aVerdict == BudgetVerdict::kSpent) {
+        self->Refuse(RefusalReason::kBudgetExhausted,
+                     "the program's budget does not hold this turn");
+      } else {
+        self->RefuseUntil(RefusalReason::kLogUnavailable,
+                          "the program's budget can't be checked now",
+                          self->ComeBackAfter());
+      }
+    });
+}
+
+DispatchWork
+CallFlow::Work() const
+{
+  DispatchWork work;
+  work.id = this->number;
+  work.service = this->service;
+  work.route = this->route->name;
+  work.priority = this->priority;
+  work.beginsProgram = this->BeginsProgram();
+  work.finishAt = this->deadline;
+  if (this->call.program && this->call.program->finishWithin) {
+    work.finishAt = this->arrivedAt + *this->call.program->finishWithin;
+  }
+  work.prompt = this->call.prompt;
+  work.affinity = this->call.affinity;
+  work.outputTokens =
+    this->route->kind == CallKind::kStream ? this->call.outputTokens : 0;
+  work.avoid = this->tried;
+  return work;
+}
+
+void
+CallFlow::Place()
+{
+  const TimePoint now = BootNow();
+  this->state.calls[this->number] = this->weak_from_this();
+  const DispatchChoice choice = this->state.dispatcher.Offer(this->Work(), now);
+  if (const auto* refused = std::get_if<Refused>(&choice)) {
+    const bool none = refused->reason == DispatchRefusal::kNoEndpoint;
+    this->RefuseUntil(none ? RefusalReason::kNoEndpoint
+                           : RefusalReason::kOverloaded,
+                      "load " + std::to_string(refused->load),
+                      this->ComeBackAfter());
+    return;
+  }
+  if (!this->programKey.empty()) {
+    this->state.programs[this->programKey].usedAt = now;
+  }
+  this->placed = true;
+  if (const auto* placement = std::get_if<Placement>(&choice)) {
+    this->Send(*placement);
+  }
+}
+
+} // namespace tanagerseam
--- /dev/null
+++ b/gateway/call_relay.cc
@@ -0,0 +1,91 @@
+// Streams: events go to the client as they come, and a turn is kept before the
+// client sees its end.
+#include "gateway/call_flow.h"
+
+namespace tanagerseam {
+
+namespace {
+
+// Bytes that a client may leave unread before its endpoint is read no further.
+constexpr size_t kMostUnread = 256u << 10;
+
+} // namespace
+
+void
+CallFlow::RelayEvents(std::string_view aPiece)
+{
+  const bool kept = this->route->keepsHistory;
+  const bool readable =
+    this->events.Feed(aPiece, [this, kept](std::string_view aData) {
+      if (this->firstEventAt == TimePoint{}) {
+        this->firstEventAt = BootNow();
+        const auto waited = this->firstEventAt - this->arrivedAt;
+        this->state.parts.metrics.Observe(
+          "tanagerseam_first_event_seconds",
+          {},
+          std::chrono::duration<double>(waited).count());
+      }
+      this->used += this->tokensPerEvent;
+      if (kept) {
+        this->output.append(aData);
+        this->output.push_back('\n');
+      }
+      return true;
+    });
+  if (!readable) {
+    LogWarn("event_too_long", this->Named({ { "endpoint", this->endpointId } }));
+  }
+  this->reply->Write(std::string(aPiece));
+  if (!this->slowed && this->reply->Unwritten() > kMostUnread) {
+    this->slowed = true;
+    this->state.parts.client.Pause(this->exchange, true);
+  }
+}
+
+// All that was written has left: read on.
+void
+CallFlow::ReadOn()
+{
+  if (this->slowed && !this->ended) {
+    this->slowed = false;
+    this->state.parts.client.Pause(this->exchange, false);
+  }
+}
+
+void
+CallFlow::KeepTurn()
+{
+  if (!this->route->keepsHistory) {
+    this->FinishStream();
+    return;
+  }
+  KeptTurn turn;
+  turn.id = this->call.id;
+  turn.organisation =
+    this->organisation == nullptr ? "" : this->organisation->name;
+  turn.previous = this->call.program ? this->call.program->previousTurn : "";
+  turn.input = this->call.body;
+  turn.output = this->output;
+  this->state.history.Keep(std::move(turn),
+                           this->before,
+                           this->deadline,
+                           [self = this->shared_from_this()](bool aKept) {
+                             if (self->ended) {
+                               return;
+                             }
+                             if (aKept) {
+                               self->FinishStream();
+                             } else {
+                               self->BreakOff("turn_not_kept");
+                             }
+                           });
+}
+
+void
+CallFlow::FinishStream()
+{
+  this->reply->End();
+  this->FinishWhole("answered");
+}
+
+} // namespace tanagerseam
--- /dev/null
+++ b/gateway/gateway.cc
@@ -0,0 +1,343 @@
+#include "gateway/gateway.h"
+
+#include "gateway/call_flow.h"
+#include "gateway/gateway_state.h"
+
+namespace tanagerseam {
+
+namespace {
+
+namespace asio = restinio::asio_ns;
+
+constexpr Millis kTickEvery(25);
+// Programs that were not seen for so long count as new.
+constexpr Millis kForgetPrograms(60000);
+
+DispatchSettings
+DispatchSettingsOf(const GatewaySettings& aSettings)
+{
+  DispatchSettings settings;
+  settings.zone = aSettings.zone;
+  return settings;
+}
+
+ProgramSettings
+ProgramSettingsOf(const GatewaySettings& aSettings)
+{
+  ProgramSettings settings;
+  settings.incarnation =
+    aSettings.host + "." + std::to_string(aSettings.started);
+  settings.budgets.partsPerTopic = aSettings.logParts;
+  settings.turns.partsPerTopic = aSettings.logParts;
+  return settings;
+}
+
+} // namespace
+
+GatewayState::GatewayState(GatewaySettings aSettings, GatewayParts aParts)
+  : settings(std::move(aSettings))
+  , parts(aParts)
+  , dispatcher(DispatchSettingsOf(this->settings))
+  , quota(this->settings.host)
+  , persistentLog(aParts.io, aParts.log)
+  , budgets(this->persistentLog, ProgramSettingsOf(this->settings))
+  , history(this->persistentLog, ProgramSettingsOf(this->settings))
+  , random(std::random_device{}())
+{
+}
+
+Millis
+GatewayState::CatalogAge(TimePoint aNow) const
+{
+  return std::chrono::duration_cast<Millis>(aNow - this->catalogConfirmedAt);
+}
+
+bool
+GatewayState::CatalogFresh(TimePoint aNow) const
+{
+  return this->catalog &&
+         this->CatalogAge(aNow) <
+           this->settings.keyFreshness - this->settings.keyFreshnessMargin;
+}
+
+void
+GatewayState::UpdateDispatcher()
+{
+  std::map<std::string, std::vector<DispatchEndpoint>> byService;
+  if (this->catalog) {
+    for (const ServiceEntry& service : this->catalog->Services()) {
+      byService[service.name];
+    }
+  }
+  for (auto& entry : byService) {
+    for (const EndpointEntry* endpoint : this->endpoints.Usable(entry.first)) {
+      entry.second.push_back(
+        { endpoint->id, endpoint->zone, endpoint->slots });
+    }
+    this->dispatcher.SetEndpoints(entry.first, entry.second);
+  }
+}
+
+void
+GatewayState::SendWaiting()
+{
+  for (const Placement& placement : this->dispatcher.Next(BootNow())) {
+    auto found = this->calls.find(placement.workId);
+    auto call =
+      found == this->calls.end() ? nullptr : found->second.lock();
+    if (call) {
+      call->Send(placement);
+    } else {
+      this->dispatcher.Finished(
+        placement.workId, { WorkEnd::kAbandoned }, BootNow());
+    }
+  }
+}
+
+struct Gateway::Impl : public std::enable_shared_from_this<Gateway::Impl>
+{
+  Impl(GatewaySettings aSettings, GatewayParts aParts)
+    : state(std::move(aSettings), aParts)
+    , tick(aParts.io)
+    , report(aParts.io)
+  {
+  }
+
+  void Tick()
+  {
+    const TimePoint now = BootNow();
+    for (const std::string& id : this->state.endpoints.Expire(now)) {
+      LogInfo("endpoint_removed", { { "endpoint", id }, { "why", "expired" } });
+      this->state.UpdateDispatcher();
+    }
+    if (this->state.dispatcher.WaitingCalls() > 0) {
+      this->state.SendWaiting();
+    }
+    this->tick.expires_after(kTickEvery);
+    this->tick.async_wait([this](const auto& aError) {
+      if (!aError) {
+        this->Tick();
+      }
+    });
+  }
+
+  void Report()
+  {
+    const TimePoint now = BootNow();
+    this->state.quota.Rebalance(now);
+    this->state.budgets.Tick(now);
+    this->ForgetPrograms(now);
+    HostReport told;
+    told.host = this->state.settings.host;
+    told.started = this->state.settings.started;
+    told.endpointCalls = this->state.dispatcher.OwnLoads();
+    told.demand = this->state.quota.OwnDemand(now);
+    this->state.parts.exchange.Send(std::move(told));
+    this->ShowGauges(now);
+    FlushLog();
+    this->report.expires_after(kReportEvery);
+    this->report.async_wait([this](const auto& aError) {
+      if (!aError) {
+        this->Report();
+      }
+    });
+  }
+
+  void ForgetPrograms(TimePoint aNow)
+  {
+    auto& programs = this->state.programs;
+    for (auto it = programs.begin(); it != programs.end();) {
+      const bool forget = aNow - it->second.usedAt > kForgetPrograms;
+      it = forget ? programs.erase(it) : std::next(it);
+    }
+  }
+
+  void ShowGauges(TimePoint aNow)
+  {
+    Metrics& metrics = this->state.parts.metrics;
+    metrics.Set("tanagerseam_catalog_age_seconds",
+                {},
+                static_cast<double>(this->state.CatalogAge(aNow).count()) /
+                  1000);
+    metrics.Set("tanagerseam_calls_under_way",
+                {},
+                static_cast<double>(this->state.underWay));
+    metrics.Set("tanagerseam_calls_waiting",
+                {},
+                static_cast<double>(this->state.dispatcher.WaitingCalls()));
+    metrics.Set("tanagerseam_members_heard",
+                {},
+                static_cast<double>(this->state.quota.Heard(aNow)));
+  }
+
+  void OnReport(const HostReport& aReport)
+  {
+    const TimePoint now = BootNow();
+    this->state.dispatcher.PeerLoads(
+      aReport.host, aReport.endpointCalls, now);
+    this->state.quota.PeerDemand(aReport.host, aReport.demand, now);
+  }
+
+  GatewayState state;
+  asio::steady_timer tick;
+  asio::steady_timer report;
+};
+
+Gateway::Gateway(GatewaySettings aSettings, GatewayParts aParts)
+  : impl(std::make_shared<Impl>(std::move(aSettings), aParts))
+{
+}
+
+Gateway::~Gateway() = default;
+
+void
+Gateway::Start()
+{
+  this->impl->state.parts.exchange.OnReport(
+    [self = this->impl.get()](const HostReport& aReport) {
+      self->OnReport(aReport);
+    });
+  this->impl->Tick();
+  this->impl->Report();
+}
+
+void
+Gateway::SetCatalog(std::shared_ptr<const Catalog> aCatalog)
+{
+  GatewayState& state = this->impl->state;
+  if (state.catalog && aCatalog->Version() <= state.catalog->Version()) {
+    return;
+  }
+  const TimePoint now = BootNow();
+  const bool first = !state.catalog;
+  state.catalog = std::move(aCatalog);
+  std::vector<std::string> names;
+  for (const OrganisationEntry& entry : state.catalog->Organisations()) {
+    names.push_back(entry.name);
+    state.quota.SetCap(entry.name,
+                       { entry.ratePerSecond, entry.burst },
+                       first && state.settings.freshStart,
+                       now);
+  }
+  state.quota.KeepOnly(names);
+  state.UpdateDispatcher();
+  LogInfo("catalog_applied",
+          { { "version", std::to_string(state.catalog->Version()) } });
+}
+
+void
+Gateway::CatalogConfirmed(TimePoint aAskedAt)
+{
+  GatewayState& state = this->impl->state;
+  const bool wasFresh = state.CatalogFresh(BootNow());
+  state.catalogConfirmedAt = std::max(state.catalogConfirmedAt, aAskedAt);
+  if (!wasFresh && state.CatalogFresh(BootNow())) {
+    LogInfo("catalog_fresh",
+            { { "version", std::to_string(state.catalog->Version()) } });
+  }
+}
+
+void
+Gateway::PutEndpoint(EndpointEntry aEndpoint)
+{
+  GatewayState& state = this->impl->state;
+  const EndpointEntry* known = state.endpoints.Find(aEndpoint.id);
+  const bool changed = known == nullptr ||
+                       known->draining != aEndpoint.draining ||
+                       known->address != aEndpoint.address ||
+                       known->service != aEndpoint.service;
+  if (changed) {
+    LogInfo("endpoint_changed",
+            { { "endpoint", aEndpoint.id },
+              { "service", aEndpoint.service },
+              { "address", aEndpoint.address },
+              { "draining", aEndpoint.draining ? "true" : "false" } });
+  }
+  state.endpoints.Put(std::move(aEndpoint));
+  if (changed) {
+    state.UpdateDispatcher();
+  }
+}
+
+void
+Gateway::RemoveEndpoint(const std::string& aId)
+{
+  GatewayState& state = this->impl->state;
+  if (state.endpoints.Find(aId) == nullptr) {
+    return;
+  }
+  state.endpoints.Remove(aId, BootNow());
+  const bool kept = state.endpoints.Find(aId) != nullptr;
+  LogInfo("endpoint_removed",
+          { { "endpoint", aId }, { "why", kept ? "in_grace" : "registry" } });
+  state.UpdateDispatcher();
+}
+
+void
+Gateway::EndpointsLost()
+{
+  this->impl->state.endpoints.RegistryLost(BootNow());
+}
+
+void
+Gateway::EndpointsConfirmed()
+{
+  this->impl->state.endpoints.RegistryBack(BootNow());
+  this->impl->state.endpointsKnown = true;
+}
+
+void
+Gateway::SetMembers(const std::vector<FleetMember>& aMembers)
+{
+  GatewayState& state = this->impl->state;
+  std::vector<std::string> hosts;
+  std::vector<FleetMember> peers;
+  for (const FleetMember& member : aMembers) {
+    hosts.push_back(member.host);
+    if (member.host != state.settings.host) {
+      peers.push_back(member);
+    }
+  }
+  state.quota.SetMembers(hosts);
+  state.parts.exchange.SetPeers(std::move(peers));
+}
+
+void
+Gateway::Handle(EventRequest aRequest, std::shared_ptr<EventReply> aReply)
+{
+  GatewayState& state = this->impl->state;
+  auto read = state.parts.dialect.ReadCall(std::move(aRequest));
+  if (const auto* refusal = std::get_if<Refusal>(&read)) {
+    const HttpAnswer out = state.parts.dialect.WriteRefusal(*refusal, "");
+    LogInfo("refused", { { "reason", std::string(RowOf(refusal->reason).name) },
+                         { "detail", refusal->detail } });
+    aReply->Send(out.status, out.headers, out.body);
+    return;
+  }
+  auto call = std::make_shared<CallFlow>(
+    state, std::get<ServiceCall>(std::move(read)), std::move(aReply));
+  call->Start();
+}
+
+bool
+Gateway::Ready() const
+{
+  const GatewayState& state = this->impl->state;
+  return !state.draining && state.endpointsKnown &&
+         state.CatalogFresh(BootNow());
+}
+
+void
+Gateway::Drain()
+{
+  this->impl->state.draining = true;
+  this->impl->state.budgets.ReturnAll();
+}
+
+size_t
+Gateway::UnderWay() const
+{
+  return this->impl->state.underWay;
+}
+
+} // namespace tanagerseam
--- /dev/null
+++ b/gateway/gateway_state.h
@@ -0,0 +1,58 @@
+// What all calls of one gateway share. Private to this library.
+#ifndef TANAGERSEAM_GATEWAY_GATEWAY_STATE_H_
+#define TANAGERSEAM_GATEWAY_GATEWAY_STATE_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "gateway/gateway.h"
+
+namespace tanagerseam {
+
+class CallFlow;
+
+// A program that calls of this host belonged to.
+struct KnownProgram
+{
+  TimePoint usedAt{};
+};
+
+struct GatewayState
+{
+  GatewayState(GatewaySettings aSettings, GatewayParts aParts);
+
+  // Keys and routes are known well enough to be judged.
+  bool CatalogFresh(TimePoint aNow) const;
+  Millis CatalogAge(TimePoint aNow) const;
+  // Tells the dispatcher which endpoints there are.
+  void UpdateDispatcher();
+  // Sends the calls that waited and can go now.
+  void SendWaiting();
+
+  GatewaySettings settings;
+  GatewayParts parts;
+  std::shared_ptr<const Catalog> catalog;
+  TimePoint catalogConfirmedAt{};
+  EndpointTable endpoints;
+  bool endpointsKnown = false;
+  Dispatcher dispatcher;
+  FleetQuota quota;
+  PersistentLog persistentLog;
+  BudgetService budgets;
+  HistoryService history;
+  std::unordered_map<std::string, KnownProgram> programs;
+  // Calls that wait for an endpoint or have one, by their number.
+  std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
+  uint64_t nextCall = 1;
+  size_t underWay = 0;
+  bool draining = false;
+  std::mt19937_64 random;
+};
+
+} // namespace tanagerseam
+
+#endif // TANAGERSEAM_GATEWAY_GATEWAY_STATE_H_
--- /dev/null
+++ b/http/event_client.h
@@ -0,0 +1,127 @@
+// HTTP/1.1 client over libcurl's multi interface, driven by one Asio loop.
+//
+//   EventClient client(io, EventClientSettings{});
+//   EventCall call;
+//   call.url = "http://127.0.0.1:8080";
+//   call.target = "/reports/7";
+//   EventHandlers handlers;
+//   handlers.onDone = [](const EventOutcome& aOutcome) { ... };
+//   EventClient::CallId id = client.Start(call, handlers);
+//   client.Cancel(id);
+//
+// All methods are called on the loop's thread, and so are all handlers; none is
+// called before Start has returned, and none after Cancel.
+//
+// Invariant: a request is written at most once. libcurl sends a request again
+// by itself when a kept connection turns out to be closed; its callback before
+// each request refuses the second one, and the outcome says that the first may
+// have reached the server.
+//
+// Cost: one easy handle for each call under way, kept for later calls.
+#ifndef TANAGERSEAM_HTTP_EVENT_CLIENT_H_
+#define TANAGERSEAM_HTTP_EVENT_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <restinio/asio_include.hpp>
+
+#include "http/http_message.h"
+#include "kernel/kernel.h"
+
+namespace tanagerseam {
+
+struct EventClientSettings
+{
+  // Connections kept open while no call uses them.
+  int maxIdleConnections = 512;
+  // A connection that idled longer is not used again, in whole seconds.
+  int maxIdleSeconds = 1;
+  // Unacknowledged data older than this breaks the connection.
+  Millis userTimeout{ 2000 };
+};
+
+struct EventCall
+{
+  std::string method = "GET";
+  // Scheme and authority: "http://10.0.0.1:8080".
+  std::string url;
+  // The request target as it goes on the wire.
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+  Millis connectTimeout{ 1000 };
+  // For the whole exchange.
+  Millis timeout{ 30000 };
+  bool freshConnection = false;
+  // The answer's body may not be larger.
+  size_t maxAnswerBytes = 8u << 20;
+};
+
+enum class EventError
+{
+  kNone,
+  // No connection came about: the server has not seen the request.
+  kNotConnected,
+  kTimeout,
+  // The connection broke, or the bytes are no HTTP answer.
+  kBroken,
+  // A kept connection was closed by the server as the request was written.
+  kStaleConnection,
+  // A handler turned the answer down.
+  kRejected,
+};
+
+// The name of an error, for logs and metrics.
+std::string_view
+NameOf(EventError aError);
+
+struct EventOutcome
+{
+  EventError error = EventError::kNone;
+  // 0 if no whole header came.
+  int status = 0;
+  // False: the server has certainly not seen the request.
+  bool sent = true;
+  std::string detail;
+};
+
+struct EventHandlers
+{
+  // Status and headers, once. False breaks the exchange off.
+  std::function<bool(int, const HttpHeaders&)> onHeaders;
+  // Each piece of the body as it comes. False breaks the exchange off.
+  std::function<bool(std::string_view)> onData;
+  // The end of the exchange, once.
+  std::function<void(const EventOutcome&)> onDone;
+};
+
+class EventClient
+{
+public:
+  using CallId = uint64_t;
+
+  EventClient(restinio::asio_ns::io_context& aIo,
+              EventClientSettings aSettings);
+  ~EventClient();
+  EventClient(const EventClient&) = delete;
+  EventClient& operator=(const EventClient&) = delete;
+
+  CallId Start(EventCall aCall, EventHandlers aHandlers);
+  // Ends the exchange and its connection. Unknown numbers are ignored.
+  void Cancel(CallId aId);
+  // Stops or resumes reading the answer, while its receiver is slow.
+  void Pause(CallId aId, bool aPaused);
+  size_t UnderWay() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+} // namespace tanagerseam
+
+#endif // TANAGERSEAM_HTTP_EVENT_CLIENT_H_
--- /dev/null
+++ b/http/event_server.cc
@@ -0,0 +1,313 @@
+#include "http/event_server.h"
+
+#include <restinio/all.hpp>
+
+#include "http/guarded_socket.h"
+
+namespace tanagerseam {
+
+namespace {
+
+constexpr size_t kMaxUrlBytes = 16u << 10;
+constexpr size_t kMaxHeaderNameBytes = 1u << 10;
+constexpr size_t kMaxHeaderValueBytes = 16u << 10;
+constexpr size_t kMaxHeaderCount = 100;
+constexpr size_t kMaxPipelined = 1;
+constexpr Millis kWriteTimeout(30000);
+// Longer than any request may take: its handler keeps the time.
+constexpr Millis kHandleTimeout(3600000);
+
+// RESTinio gives these names.
+// NOLINTBEGIN(readability-identifier-naming)
+struct EventTraits : public restinio::default_single_thread_traits_t
+{
+  using logger_t = FaultLogger;
+  using stream_socket_t = GuardedSocket;
+};
+// NOLINTEND(readability-identifier-naming)
+
+using WholeBuilder =
+  restinio::response_builder_t<restinio::restinio_controlled_output_t>;
+using ChunkBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+restinio::http_status_line_t
+EventStatusLine(int aStatus)
+{
+  return restinio::http_status_line_t(
+    restinio::http_status_code_t(static_cast<uint16_t>(aStatus)),
+    aStatus < 400 ? "OK" : "Refused");
+}
+
+// State that replies share with their server.
+struct ServerState
+{
+  bool closing = false;
+  size_t busy = 0;
+};
+
+class LoopReply
+  : public EventReply
+  , public std::enable_shared_from_this<LoopReply>
+{
+public:
+  LoopReply(restinio::request_handle_t aRequest,
+            std::shared_ptr<ConnectionWatch> aWatch,
+            std::shared_ptr<ServerState> aState)
+    : request(std::move(aRequest))
+    , watch(std::move(aWatch))
+    , state(std::move(aState))
+  {
+    ++this->state->busy;
+  }
+
+  ~LoopReply() override
+  {
+    // A handler that forgot its caller must not leave it waiting.
+    if (!this->ended) {
+      this->Break();
+    }
+  }
+
+  void Send(int aStatus,
+            const HttpHeaders& aHeaders,
+            std::string aBody) override
+  {
+    if (!this->Finish()) {
+      return;
+    }
+    WholeBuilder builder =
+      this->request->create_response(EventStatusLine(aStatus));
+    this->AddHeaders(builder, aHeaders);
+    if (this->request->header().method() != restinio::http_method_head()) {
+      builder.set_body(std::move(aBody));
+    }
+    builder.done();
+  }
+
+  void Begin(int aStatus, const HttpHeaders& aHeaders) override
+  {
+    this->chunks = std::make_unique<ChunkBuilder>(
+      this->request->create_response<restinio::chunked_output_t>(
+        EventStatusLine(aStatus)));
+    this->AddHeaders(*this->chunks, aHeaders);
+    this->chunks->flush();
+  }
+
+  void Write(std::string aPiece) override
+  {
+    if (this->ended || aPiece.empty()) {
+      return;
+    }
+    const size_t size = aPiece.size();
+    this->unwritten += size;
+    this->chunks->append_chunk(std::move(aPiece));
+    this->chunks->flush([self = this->weak_from_this(), size](const auto&) {
+      if (auto reply = self.lock()) {
+        reply->Written(size);
+      }
+    });
+  }
+
+  void End() override
+  {
+    if (!this->Finish()) {
+      return;
+    }
+    this->chunks->done();
+    this->chunks.reset();
+  }
+
+  void Break() override
+  {
+    if (!this->Finish()) {
+      return;
+    }
+    this->watch->Break();
+    // RESTinio closes the connection when a write to it fails.
+    if (!this->chunks) {
+      this->Begin(503, {});
+    }
+    this->chunks->append_chunk(std::string(" "));
+    this->chunks->flush();
+    this->chunks.reset();
+  }
+
+  void OnGone(std::function<void()> aOnGone) override
+  {
+    this->watch->Begin(std::move(aOnGone));
+  }
+
+  size_t Unwritten() const override { return this->unwritten; }
+
+  void OnDrained(std::function<void()> aOnDrained) override
+  {
+    this->onDrained = std::move(aOnDrained);
+  }
+
+private:
+  // False if the answer had ended before.
+  bool Finish()
+  {
+    if (this->ended) {
+      return false;
+    }
+    this->ended = true;
+    --this->state->busy;
+    this->watch->End();
+    return true;
+  }
+
+  void Written(size_t aBytes)
+  {
+    this->unwritten -= aBytes;
+    if (this->unwritten == 0 && this->onDrained) {
+      this->onDrained();
+    }
+  }
+
+  template<typename Builder>
+  void AddHeaders(Builder& aBuilder, const HttpHeaders& aHeaders)
+  {
+    for (const auto& header : aHeaders) {
+      aBuilder.append_header(header.first, header.second);
+    }
+    const bool keep =
+      this->request->header().should_keep_alive() && !this->state->closing;
+    if (keep) {
+      aBuilder.connection_keep_alive();
+    } else {
+      aBuilder.connection_close();
+    }
+  }
+
+  restinio::request_handle_t request;
+  std::shared_ptr<ConnectionWatch> watch;
+  std::shared_ptr<ServerState> state;
+  std::unique_ptr<ChunkBuilder> chunks;
+  std::function<void()> onDrained;
+  size_t unwritten = 0;
+  bool ended = false;
+};
+
+EventRequest
+ToEventRequest(const restinio::request_handle_t& aRequest)
+{
+  EventRequest request;
+  request.method = aRequest->header().method().c_str();
+  request.target = aRequest->header().request_target();
+  aRequest->header().for_each_field([&request](const auto& aField) {
+    request.headers.emplace_back(aField.name(), aField.value());
+  });
+  request.body = aRequest->body();
+  return request;
+}
+
+} // namespace
+
+struct EventServer::Impl
+{
+  using Server = restinio::http_server_t<EventTraits>;
+
+  restinio::asio_ns::io_context& io;
+  EventServerSettings settings;
+  EventHandler handler;
+  std::shared_ptr<ServerState> state = std::make_shared<ServerState>();
+  std::unique_ptr<Server> server;
+
+  Impl(restinio::asio_ns::io_context& aIo,
+       EventServerSettings aSettings,
+       EventHandler aHandler)
+    : io(aIo)
+    , settings(std::move(aSettings))
+    , handler(std::move(aHandler))
+  {
+  }
+
+  restinio::request_handling_status_t Handle(
+    const restinio::request_handle_t& aRequest)
+  {
+    GuardedSocket* socket = ThisIoThread().socket;
+    ThisIoThread().requestTaken = true;
+    if (socket == nullptr) {
+      return restinio::request_rejected();
+    }
+    auto reply =
+      std::make_shared<LoopReply>(aRequest, socket->Watch(), this->state);
+    this->handler(ToEventRequest(aRequest), reply);
+    return restinio::request_accepted();
+  }
+
+  restinio::server_settings_t<EventTraits> Options()
+  {
+    using Limits = restinio::incoming_http_msg_limits_t;
+    restinio::server_settings_t<EventTraits> options;
+    options.address(this->settings.address)
+      .port(this->settings.port)
+      .read_next_http_message_timelimit(this->settings.readTimeout)
+      .write_http_response_timelimit(kWriteTimeout)
+      .handle_request_timeout(kHandleTimeout)
+      .max_pipelined_requests(kMaxPipelined)
+      .incoming_http_msg_limits(
+        Limits{}
+          .max_url_size(kMaxUrlBytes)
+          .max_field_name_size(kMaxHeaderNameBytes)
+          .max_field_value_size(kMaxHeaderValueBytes)
+          .max_field_count(kMaxHeaderCount)
+          .max_body_size(this->settings.maxBodyBytes))
+      .acceptor_options_setter([](auto& aOptions) {
+        aOptions.set_option(
+          restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
+      })
+      .socket_options_setter([](auto& aOptions) {
+        aOptions.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
+      })
+      .request_handler([this](restinio::request_handle_t aRequest) {
+        return this->Handle(aRequest);
+      });
+    return options;
+  }
+};
+
+EventServer::EventServer(restinio::asio_ns::io_context& aIo,
+                         EventServerSettings aSettings,
+                         EventHandler aHandler)
+  : impl(
+      std::make_unique<Impl>(aIo, std::move(aSettings), std::move(aHandler)))
+{
+}
+
+EventServer::~EventServer() = default;
+
+void
+EventServer::Open()
+{
+  Impl& self = *this->impl;
+  ThisIoThread().answer = &self.settings.faultAnswer;
+  self.server = std::make_unique<Impl::Server>(
+    restinio::external_io_context(self.io), self.Options());
+  self.server->open_async(
+    [] {}, [](std::exception_ptr aError) { std::rethrow_exception(aError); });
+}
+
+void
+EventServer::StopAccepting()
+{
+  if (this->impl->server) {
+    this->impl->server->close_async(
+      [] {}, [](const std::exception_ptr&) {});
+  }
+}
+
+void
+EventServer::CloseAfterAnswers()
+{
+  this->impl->state->closing = true;
+}
+
+size_t
+EventServer::Busy() const
+{
+  return this->impl->state->busy;
+}
+
+} // namespace tanagerseam
--- a/http/guarded_socket.cc
+++ b/http/guarded_socket.cc
@@ -4,7 +4,7 @@
 
 #include <array>
 #include <atomic>
-#include <memory>
+#include <cerrno>
 
 namespace tanagerseam {
 
@@ -136,9 +136,93 @@
   Base::shutdown(this->answered ? shutdown_send : aHow, aError);
 }
 
+void
+ConnectionWatch::Begin(std::function<void()> aOnGone)
+{
+  this->onGone = std::move(aOnGone);
+  ++this->turn;
+  this->Wait(this->turn);
+}
+
+void
+ConnectionWatch::End()
+{
+  ++this->turn;
+  this->onGone = nullptr;
+}
+
+void
+ConnectionWatch::Wait(uint64_t aTurn)
+{
+  if (this->socket == nullptr) {
+    return;
+  }
+  this->socket->async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [self = this->shared_from_this(), aTurn](const auto& aError) {
+      // RESTinio cancels all waits when it writes the last answer of a
+      // connection; the watch goes on.
+      if (aError == asio::error::operation_aborted) {
+        self->Resume(aTurn);
+      } else if (!aError) {
+        self->Look(aTurn);
+      }
+    });
+}
+
+void
+ConnectionWatch::Resume(uint64_t aTurn)
+{
+  if (aTurn == this->turn && this->onGone) {
+    this->Wait(aTurn);
+  }
+}
+
+void
+ConnectionWatch::Look(uint64_t aTurn)
+{
+  if (aTurn != this->turn || this->socket == nullptr || !this->onGone) {
+    return;
+  }
+  char byte = 0;
+  const ssize_t got = ::recv(
+    this->socket->native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) {
+    return;
+  }
+  if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+    this->Wait(aTurn);
+    return;
+  }
+  const auto told = std::move(this->onGone);
+  this->End();
+  told();
+}
+
+void
+ConnectionWatch::Break()
+{
+  this->End();
+  if (this->socket != nullptr) {
+    ::shutdown(this->socket->native_handle(), SHUT_RDWR);
+  }
+}
+
+std::shared_ptr<ConnectionWatch>
+GuardedSocket::Watch()
+{
+  if (!this->watch) {
+    this->watch = std::make_shared<ConnectionWatch>(*this);
+  }
+  return this->watch;
+}
+
 void
 GuardedSocket::close()
 {
+  if (this->watch) {
+    this->watch->Forget();
+  }
   Error ignored;
   if (!this->answered || lingering >= kMaxLingering) {
     Base::close(ignored);
--- a/http/guarded_socket.h
+++ b/http/guarded_socket.h
@@ -25,6 +25,8 @@
 
 #include <restinio/all.hpp>
 
+#include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -32,6 +34,8 @@
 
 namespace tanagerseam {
 
+class GuardedSocket;
+
 // What the I/O thread that runs now knows about the connection it works on.
 struct IoThreadNotes
 {
@@ -39,6 +43,38 @@
   InputFault fault = InputFault::kNone;
   // A whole request was handed to its handler.
   bool requestTaken = false;
+  // The connection whose callback runs; null outside of one.
+  GuardedSocket* socket = nullptr;
+};
+
+// Tells that a caller left while its request is being handled, when RESTinio
+// does not read; and breaks a connection off. Used on the connection's I/O
+// thread only. Outlives the socket.
+class ConnectionWatch : public std::enable_shared_from_this<ConnectionWatch>
+{
+public:
+  explicit ConnectionWatch(GuardedSocket& aSocket)
+    : socket(&aSocket)
+  {
+  }
+  // Calls aOnGone once if the caller closes or resets the connection. Bytes
+  // sent ahead hide a close that follows them; then nothing is told.
+  void Begin(std::function<void()> aOnGone);
+  void End();
+  // Ends the connection: the caller sees that its answer is not whole.
+  void Break();
+  // The socket was closed.
+  void Forget() { this->socket = nullptr; }
+
+private:
+  void Wait(uint64_t aTurn);
+  void Resume(uint64_t aTurn);
+  void Look(uint64_t aTurn);
+
+  GuardedSocket* socket;
+  std::function<void()> onGone;
+  // Increases with each Begin and End; older waits are void.
+  uint64_t turn = 0;
 };
 
 IoThreadNotes&
@@ -90,8 +126,11 @@
     auto guarded = [this, handler = std::forward<Handler>(aHandler)](
                      const Error& aError, size_t aLength) mutable {
       ThisIoThread().requestTaken = false;
+      ThisIoThread().socket = this;
       this->partial = this->partial || aLength > 0;
+      // The handler may destroy this socket unless it handed a request on.
       handler(aError, aLength);
+      ThisIoThread().socket = nullptr;
       if (ThisIoThread().requestTaken) {
         this->partial = false;
       }
@@ -104,18 +143,33 @@
   auto async_write_some(const Buffers& aBuffers, Handler&& aHandler)
   {
     this->partial = false;
-    return Base::async_write_some(aBuffers, std::forward<Handler>(aHandler));
+    auto executor = restinio::asio_ns::get_associated_executor(aHandler);
+    // A request that was sent ahead is handed on once the answer before it has
+    // been written.
+    auto guarded = [this, handler = std::forward<Handler>(aHandler)](
+                     const Error& aError, size_t aLength) mutable {
+      ThisIoThread().socket = this;
+      handler(aError, aLength);
+      ThisIoThread().socket = nullptr;
+    };
+    return Base::async_write_some(
+      aBuffers, restinio::asio_ns::bind_executor(executor, std::move(guarded)));
   }
 
   void shutdown(shutdown_type aHow, Error& aError);
   void close();
   // NOLINTEND(readability-identifier-naming)
 
+  // The watch over this connection; made at the first call, after RESTinio has
+  // moved the socket to its place.
+  std::shared_ptr<ConnectionWatch> Watch();
+
 private:
   // Bytes have come that belong to no request handed on yet.
   bool partial = false;
   // An answer was sent that the caller has to read.
   bool answered = false;
+  std::shared_ptr<ConnectionWatch> watch;
 };
 
 } // namespace tanagerseam
--- a/http/http_message.cc
+++ b/http/http_message.cc
@@ -1,5 +1,7 @@
 #include "http/http_message.h"
 
+#include <curl/curl.h>
+
 #include <strings.h>
 
 #include <restinio/uri_helpers.hpp>
@@ -47,4 +49,14 @@
   return std::string(value.data(), value.size());
 }
 
+std::string
+PercentEncode(const std::string& aText)
+{
+  char* text = curl_easy_escape(
+    nullptr, aText.data(), static_cast<int>(aText.size()));
+  const std::string encoded = text == nullptr ? "" : text;
+  curl_free(text);
+  return encoded;
+}
+
 } // namespace tanagerseam
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -23,6 +23,10 @@
 std::optional<std::string>
 FirstHeader(const HttpHeaders& aHeaders, const std::string& aName);
 
+// aText with all but unreserved characters percent-encoded, for a query.
+std::string
+PercentEncode(const std::string& aText);
+
 // The value of a query parameter in "a=1&b=2"; percent signs are decoded.
 std::optional<std::string>
 QueryValue(const std::string& aQuery, const std::string& aName);
--- a/kernel/clock.h
+++ b/kernel/clock.h
@@ -19,6 +19,11 @@
   return std::chrono::steady_clock::now();
 }
 
+// The same kind of point on the clock that also counts the time in which the
+// host was suspended. Points of the two clocks must not be mixed.
+TimePoint
+BootNow();
+
 // Whole milliseconds from aFrom to aTo; negative if aTo is earlier.
 inline int64_t
 MillisBetween(TimePoint aFrom, TimePoint aTo)
--- a/kernel/log.cc
+++ b/kernel/log.cc
@@ -1,12 +1,17 @@
 #include "kernel/log.h"
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 
 #include "kernel/clock.h"
@@ -15,8 +20,118 @@
 
 namespace {
 
+// Lines that come together before they are written in buffered mode, in bytes.
+constexpr size_t kWriteBytes = 8192;
+
 std::string logHost;
 
+// Writes to standard output without ever waiting for its reader. Lines are
+// whole: one that does not fit into the buffer is dropped and counted.
+class BoundedOutput
+{
+public:
+  void Add(const std::string& aLine, bool aUrgent)
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (!aUrgent && !this->TakePermit()) {
+      ++this->dropped;
+      return;
+    }
+    if (this->buffer.size() + aLine.size() + 1 > kLogBufferBytes) {
+      ++this->dropped;
+      return;
+    }
+    this->buffer += aLine;
+    this->buffer.push_back('\n');
+    if (aUrgent || !this->buffered || this->buffer.size() >= kWriteBytes) {
+      this->Write();
+    }
+  }
+
+  void SetBuffered(bool aBuffered)
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->buffered = aBuffered;
+  }
+
+  void Flush()
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->Write();
+  }
+
+  // Lines left out since the last call.
+  size_t TakeDropped()
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return std::exchange(this->dropped, 0);
+  }
+
+  void MakeNonBlocking()
+  {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+
+private:
+  // A permit of this second, if one is left.
+  bool TakePermit()
+  {
+    const int64_t second = WallMillis() / 1000;
+    if (second != this->permitSecond) {
+      this->permitSecond = second;
+      this->permits = kLogLinesPerSecond;
+    }
+    return this->permits-- > 0;
+  }
+
+  void Write()
+  {
+    while (!this->buffer.empty()) {
+      const ssize_t written =
+        ::write(STDOUT_FILENO, this->buffer.data(), this->buffer.size());
+      if (written < 0 && errno == EINTR) {
+        continue;
+      }
+      if (written <= 0) {
+        return;
+      }
+      this->buffer.erase(0, static_cast<size_t>(written));
+    }
+  }
+
+  std::mutex mutex;
+  std::string buffer;
+  bool buffered = false;
+  size_t dropped = 0;
+  int64_t permitSecond = 0;
+  int permits = 0;
+};
+
+BoundedOutput&
+Output()
+{
+  static BoundedOutput output;
+  return output;
+}
+
+// log4cplus gives the names.
+// NOLINTBEGIN(readability-identifier-naming)
+class BoundedAppender : public log4cplus::Appender
+{
+public:
+  ~BoundedAppender() override { this->destructorImpl(); }
+  void close() override { this->closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    Output().Add(aEvent.getMessage(),
+                 aEvent.getLogLevel() >= log4cplus::WARN_LOG_LEVEL);
+  }
+};
+// NOLINTEND(readability-identifier-naming)
+
 // Lives until the process ends, as log4cplus asks.
 log4cplus::Logger&
 Root()
@@ -53,12 +168,8 @@
   logHost = aHost;
   log4cplus::Logger& logger = Root();
   logger.removeAllAppenders();
-  const bool toStderr = true;
-  const bool flushEachLine = true;
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(toStderr, flushEachLine));
-  appender->setLayout(
-    std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+  Output().MakeNonBlocking();
+  log4cplus::SharedAppenderPtr appender(new BoundedAppender());
   logger.addAppender(appender);
   std::string upper;
   for (char letter : aLevel) {
@@ -67,6 +178,22 @@
   logger.setLogLevel(log4cplus::getLogLevelManager().fromString(upper));
 }
 
+void
+BufferLog(bool aBuffered)
+{
+  Output().SetBuffered(aBuffered);
+}
+
+void
+FlushLog()
+{
+  const size_t dropped = Output().TakeDropped();
+  if (dropped > 0) {
+    LogWarn("log_lines_dropped", { { "lines", std::to_string(dropped) } });
+  }
+  Output().Flush();
+}
+
 void
 LogDebug(const char* aEvent, const LogFields& aFields)
 {
--- /dev/null
+++ b/recordlog/recordlog.cc
@@ -0,0 +1,33 @@
+#include "recordlog/recordlog.h"
+
+namespace tanagerseam {
+
+namespace {
+
+struct LogFaultName
+{
+  LogFault error;
+  std::string_view name;
+};
+
+constexpr LogFaultName kLogFaults[] = {
+  { LogFault::kNoAnswer, "no_answer" },
+  { LogFault::kUnavailable, "unavailable" },
+  { LogFault::kFull, "full" },
+  { LogFault::kRejected, "rejected" },
+};
+
+} // namespace
+
+std::string_view
+NameOf(LogFault aError)
+{
+  for (const LogFaultName& row : kLogFaults) {
+    if (row.error == aError) {
+      return row.name;
+    }
+  }
+  return "unknown";
+}
+
+} // namespace tanagerseam
