--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -102,11 +102,9 @@
     , started(static_cast<uint64_t>(WallMillis()))
     , client(io, EventClientSettings{})
     , store(client, settings.storeAddress, metrics)
-    , exchange(io,
-               SplitAddress(settings.exchangeAddress).ip,
-               SplitAddress(settings.exchangeAddress).port)
+    , link(io, LinkSettingsOf(settings, started))
     , gateway(SettingsOf(settings, started),
-              GatewayParts{ io, client, dialect, store, exchange, metrics })
+              GatewayParts{ io, client, dialect, store, link, metrics })
     , configuration(io, store, { kConfigurationTopic }, ConfigurationHandlers())
     , servers(io,
               store,
@@ -138,6 +136,14 @@
     return settings;
   }
 
+  static FleetLinkSettings LinkSettingsOf(
+    const GatewayProcessSettings& aSettings,
+    uint64_t aStarted)
+  {
+    const HostPort address = SplitAddress(aSettings.exchangeAddress);
+    return { aSettings.host, aStarted, address.ip, address.port };
+  }
+
   EventServerSettings ServerAt(const std::string& aAddress) const
   {
     EventServerSettings server;
@@ -412,7 +418,7 @@
   EventClient client;
   StoreClient store;
   PlatformDialect dialect;
-  LoadExchange exchange;
+  FleetLink link;
   Gateway gateway;
   KeyedFeed configuration;
   KeyedFeed servers;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -1,16 +1,19 @@
-// What hosts of the fleet tell each other: their load and what is asked of
-// them.
+// What hosts of the fleet tell and ask each other.
 //
-//   LoadExchange exchange(io, "10.0.0.1", 7780);
-//   exchange.OnReport([](const HostReport& aReport) { ... });
-//   exchange.SetPeers(members);
-//   exchange.Send(report);
+//   FleetLink link(io, { "host-1", started, "10.0.0.1", 7780 });
+//   link.SetHandlers(handlers);
+//   link.SetPeers(members);
+//   link.SendReport(report);
+//   uint64_t reservation = link.Reserve("host-2", request, wait, done);
+//   link.Settle("host-2", reservation, 144);
 //
-// Reports are FlatBuffers in single datagrams. A lost report is superseded by
-// the next one, and no connection can go silent; nothing here is needed for a
-// decision to be safe, only for it to be good.
+// Messages are FlatBuffers in single datagrams. A lost report is superseded by
+// the next one; a lost question is asked again until its answer is of no more
+// use, and its receiver answers a repetition as it answered first. No
+// connection can go silent. Nothing here is needed for a decision to be safe,
+// only for it to be good and cheap.
 //
-// A report goes to at most kFanOut peers, each time to the next ones, so the
+// A report goes to at most kFanOut peers, each time to the next ones, so its
 // cost does not grow with the fleet; each peer hears a host every
 // (peers / kFanOut) reports.
 #ifndef TANAGERSEAM_FLEET_FLEET_H_
@@ -35,6 +38,14 @@
   uint16_t port = 0;
 };
 
+struct OrganisationUse
+{
+  // Calls a second that are asked.
+  double demand = 0;
+  // Calls admitted since the host's start.
+  uint64_t admitted = 0;
+};
+
 struct HostReport
 {
   std::string host;
@@ -43,34 +54,76 @@
   uint64_t sequence = 0;
   // Calls under way, by endpoint.
   std::unordered_map<std::string, int> endpointCalls;
-  // Calls a second that are asked, by organisation.
-  std::unordered_map<std::string, double> demand;
+  std::unordered_map<std::string, OrganisationUse> organisations;
+};
+
+// Tokens of a program's budget that a turn may need.
+struct TokenRequest
+{
+  std::string program;
+  int64_t budget = 0;
+  int64_t most = 0;
+};
+
+enum class ReserveAnswer
+{
+  kReserved,
+  kSpent,
+  // The program's host can't tell.
+  kUnknown,
+  // No answer came; the tokens may have been set aside.
+  kNoAnswer,
 };
 
-std::string
-EncodeReport(const HostReport& aReport);
-// Nothing for bytes that are no report.
-std::optional<HostReport>
-ParseReport(const std::string& aData);
+struct FleetHandlers
+{
+  std::function<void(const HostReport&)> onReport;
+  // Answers by calling the function that it is given, once.
+  std::function<
+    void(const TokenRequest&, Millis, std::function<void(ReserveAnswer)>)>
+    onReserve;
+  // The end of a reservation that was answered kReserved, and the tokens that
+  // were handed out. A host that starts anew has used all it had reserved.
+  std::function<void(const TokenRequest&, int64_t aUsed)> onSettle;
+};
+
+struct FleetLinkSettings
+{
+  std::string host;
+  uint64_t started = 0;
+  std::string ip;
+  uint16_t port = 0;
+};
 
-class LoadExchange
+class FleetLink
 {
 public:
   static constexpr size_t kFanOut = 16;
   // Larger reports leave out organisations with the least demand.
   static constexpr size_t kMaxOrganisations = 64;
+  // A question without an answer is asked again after this time.
+  static constexpr Millis kAskAgainAfter{ 12 };
+  // A settlement is repeated so often.
+  static constexpr int kSettleTries = 8;
 
-  LoadExchange(restinio::asio_ns::io_context& aIo,
-               const std::string& aIp,
-               uint16_t aPort);
-  ~LoadExchange();
-  LoadExchange(const LoadExchange&) = delete;
-  LoadExchange& operator=(const LoadExchange&) = delete;
+  FleetLink(restinio::asio_ns::io_context& aIo, FleetLinkSettings aSettings);
+  ~FleetLink();
+  FleetLink(const FleetLink&) = delete;
+  FleetLink& operator=(const FleetLink&) = delete;
 
-  void OnReport(std::function<void(const HostReport&)> aOnReport);
+  void SetHandlers(FleetHandlers aHandlers);
   // The other hosts.
   void SetPeers(std::vector<FleetMember> aPeers);
-  void Send(HostReport aReport);
+  void SendReport(HostReport aReport);
+  // Asks aHost; answers kNoAnswer after aWait, and for a host that is no peer.
+  // Each reservation but those answered kSpent and kUnknown is to be settled.
+  uint64_t Reserve(const std::string& aHost,
+                   const TokenRequest& aRequest,
+                   Millis aWait,
+                   std::function<void(ReserveAnswer)> aDone);
+  // Harmless for a reservation that never reached aHost.
+  void Settle(const std::string& aHost, uint64_t aReservation, int64_t aUsed);
+  bool IsPeer(const std::string& aHost) const;
 
 private:
   struct Impl;
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -105,9 +105,14 @@
     this->quotaTaken = true;
     return true;
   }
-  this->RefuseUntil(RefusalReason::kRateExceeded,
-                    "the organisation's rate is used up",
-                    this->ComeBackAfter());
+  const QuotaView view = this->state.quota.View(name, this->arrivedAt);
+  this->RefuseUntil(
+    RefusalReason::kRateExceeded,
+    "organisation " + name + " pool " + std::to_string(view.pool) + " own " +
+      std::to_string(view.own) + " rate " + std::to_string(view.rate) +
+      " part " + std::to_string(view.part) + " heard " +
+      std::to_string(view.heard) + "/" + std::to_string(view.members),
+    this->ComeBackAfter());
   return false;
 }
 
@@ -153,33 +158,40 @@
     return;
   }
   const int64_t most = std::max<int64_t>(this->call.outputTokens, 1);
-  this->state.budgets.Reserve(
-    this->programKey,
-    *this->call.program->tokenBudget,
-    most,
+  const TokenRequest request{ this->programKey,
+                              *this->call.program->tokenBudget,
+                              most };
+  this->state.turnBudgets.Reserve(
+    request,
     this->deadline,
-    [self = this->shared_from_this(), most](BudgetVerdict aVerdict) {
-      if (self->ended) {
-        if (aVerdict == BudgetVerdict::kReserved) {
-          self->state.budgets.Settle(self->programKey, most, 0);
-        }
-        return;
-      }
-      if (aVerdict == BudgetVerdict::kReserved) {
-        self->reserved = most;
-        self->hasReservation = true;
-        self->Place();
-      } else if (aVerdict == BudgetVerdict::kSpent) {
-        self->Refuse(RefusalReason::kBudgetExhausted,
-                     "the program's budget does not hold this turn");
-      } else {
-        self->RefuseUntil(RefusalReason::kLogUnavailable,
-                          "the program's budget can't be checked now",
-                          self->ComeBackAfter());
-      }
+    [self = this->shared_from_this()](BudgetVerdict aVerdict,
+                                      const TurnReservation& aReservation) {
+      self->OnTokens(aVerdict, aReservation);
     });
 }
 
+void
+CallFlow::OnTokens(BudgetVerdict aVerdict, const TurnReservation& aReservation)
+{
+  if (this->ended) {
+    if (aVerdict == BudgetVerdict::kReserved) {
+      this->state.turnBudgets.Settle(aReservation, 0);
+    }
+    return;
+  }
+  if (aVerdict == BudgetVerdict::kReserved) {
+    this->reservation = aReservation;
+    this->Place();
+  } else if (aVerdict == BudgetVerdict::kSpent) {
+    this->Refuse(RefusalReason::kBudgetExhausted,
+                 "the program's budget does not hold this turn");
+  } else {
+    this->RefuseUntil(RefusalReason::kLogUnavailable,
+                      "the program's budget can't be checked now",
+                      this->ComeBackAfter());
+  }
+}
+
 DispatchWork
 CallFlow::Work() const
 {
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -385,9 +385,9 @@
     this->state.dispatcher.Remove(this->number);
   }
   this->state.calls.erase(this->number);
-  if (this->hasReservation) {
-    this->state.budgets.Settle(this->programKey, this->reserved, this->used);
-    this->hasReservation = false;
+  if (this->reservation) {
+    this->state.turnBudgets.Settle(*this->reservation, this->used);
+    this->reservation.reset();
   }
   if (this->quotaTaken && this->attempts == 0) {
     this->state.quota.Return(this->organisation->name);
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -36,6 +36,7 @@
   bool TakeQuota();
   void LoadHistory();
   void ReserveTokens();
+  void OnTokens(BudgetVerdict aVerdict, const TurnReservation& aReservation);
   void Place();
   bool BeginsProgram() const;
   DispatchWork Work() const;
@@ -94,9 +95,8 @@
   // Organisation and id: programs of organisations don't meet.
   std::string programKey;
   bool quotaTaken = false;
-  // Tokens set aside for this turn; 0 once they are settled.
-  int64_t reserved = 0;
-  bool hasReservation = false;
+  // Tokens set aside for this turn, until they are settled.
+  std::optional<TurnReservation> reservation;
   int64_t used = 0;
   Transcript before;
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -38,9 +38,10 @@
   : settings(std::move(aSettings))
   , parts(aParts)
   , dispatcher(DispatchSettingsOf(this->settings))
-  , quota(this->settings.host)
+  , quota(this->settings.host, this->settings.started)
   , persistentLog(aParts.io, aParts.log)
   , budgets(this->persistentLog, ProgramSettingsOf(this->settings))
+  , turnBudgets(this->settings.host, aParts.link, this->budgets)
   , history(this->persistentLog, ProgramSettingsOf(this->settings))
   , random(std::random_device{}())
 {
@@ -124,15 +125,17 @@
   void Report()
   {
     const TimePoint now = BootNow();
-    this->state.quota.Rebalance(now);
     this->state.budgets.Tick(now);
     this->ForgetPrograms(now);
     HostReport told;
     told.host = this->state.settings.host;
     told.started = this->state.settings.started;
     told.endpointCalls = this->state.dispatcher.OwnLoads();
-    told.demand = this->state.quota.OwnDemand(now);
-    this->state.parts.exchange.Send(std::move(told));
+    for (const auto& entry : this->state.quota.OwnReports(now)) {
+      told.organisations[entry.first] = { entry.second.demand,
+                                          entry.second.admitted };
+    }
+    this->state.parts.link.SendReport(std::move(told));
     this->ShowGauges(now);
     FlushLog();
     this->report.expires_after(kReportEvery);
@@ -175,7 +178,11 @@
     const TimePoint now = BootNow();
     this->state.dispatcher.PeerLoads(
       aReport.host, aReport.endpointCalls, now);
-    this->state.quota.PeerDemand(aReport.host, aReport.demand, now);
+    QuotaReports uses;
+    for (const auto& entry : aReport.organisations) {
+      uses[entry.first] = { entry.second.demand, entry.second.admitted };
+    }
+    this->state.quota.PeerReport(aReport.host, aReport.started, uses, now);
   }
 
   GatewayState state;
@@ -193,10 +200,20 @@
 void
 Gateway::Start()
 {
-  this->impl->state.parts.exchange.OnReport(
-    [self = this->impl.get()](const HostReport& aReport) {
-      self->OnReport(aReport);
-    });
+  Impl* self = this->impl.get();
+  FleetHandlers handlers;
+  handlers.onReport = [self](const HostReport& aReport) {
+    self->OnReport(aReport);
+  };
+  handlers.onReserve = [self](const TokenRequest& aRequest,
+                              Millis aWait,
+                              std::function<void(ReserveAnswer)> aDone) {
+    self->state.turnBudgets.ReserveForPeer(aRequest, aWait, std::move(aDone));
+  };
+  handlers.onSettle = [self](const TokenRequest& aRequest, int64_t aUsed) {
+    self->state.turnBudgets.SettleForPeer(aRequest, aUsed);
+  };
+  this->impl->state.parts.link.SetHandlers(std::move(handlers));
   this->impl->Tick();
   this->impl->Report();
 }
@@ -299,7 +316,8 @@
     }
   }
   state.quota.SetMembers(hosts);
-  state.parts.exchange.SetPeers(std::move(peers));
+  state.turnBudgets.SetMembers(hosts);
+  state.parts.link.SetPeers(std::move(peers));
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,6 +1,6 @@
 // The way of every call through one host: admission, placement, relay.
 //
-//   GatewayParts parts{ io, client, dialect, log, exchange, metrics };
+//   GatewayParts parts{ io, client, dialect, log, link, metrics };
 //   Gateway gateway(settings, parts);
 //   gateway.SetCatalog(catalog);
 //   gateway.CatalogConfirmed(askedAt);
@@ -62,7 +62,7 @@
   EventClient& client;
   const Dialect& dialect;
   RecordLog& log;
-  LoadExchange& exchange;
+  FleetLink& link;
   Metrics& metrics;
 };
 
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "gateway/gateway.h"
+#include "gateway/turn_budgets.h"
 
 namespace tanagerseam {
 
@@ -43,6 +44,7 @@
   FleetQuota quota;
   PersistentLog persistentLog;
   BudgetService budgets;
+  TurnBudgets turnBudgets;
   HistoryService history;
   std::unordered_map<std::string, KnownProgram> programs;
   // Calls that wait for an endpoint or have one, by their number.
--- /dev/null
+++ b/gateway/turn_budgets.h
@@ -0,0 +1,69 @@
+// Tokens for turns, from the host that keeps the program's budget at hand.
+// Private to this library.
+//
+// Each program has a home among the hosts that are heard: the one with the
+// highest hash of program and host. The home asks the log for a larger part of
+// the budget and hands it out turn by turn, so that turns that come in anywhere
+// cost a message and not an append. If the home does not answer, this host asks
+// the log itself, for this one turn. Hosts that disagree about the home cost
+// appends and nothing else: what is handed out is always granted by the log.
+#ifndef TANAGERSEAM_GATEWAY_TURN_BUDGETS_H_
+#define TANAGERSEAM_GATEWAY_TURN_BUDGETS_H_
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/fleet.h"
+#include "program/program.h"
+
+namespace tanagerseam {
+
+// Tokens set aside for one turn.
+struct TurnReservation
+{
+  TokenRequest request;
+  // Where it is to be settled; empty for this host.
+  std::string home;
+  uint64_t number = 0;
+};
+
+class TurnBudgets
+{
+public:
+  // A home that does not answer within this time is passed over.
+  static constexpr Millis kHomeWait{ 45 };
+  static constexpr Millis kSuspectFor{ 1000 };
+
+  using Callback = std::function<void(BudgetVerdict, TurnReservation)>;
+
+  TurnBudgets(std::string aOwnHost, FleetLink& aLink, BudgetService& aService);
+
+  void SetMembers(const std::vector<std::string>& aHosts);
+  // Answers once; every kReserved is to be settled.
+  void Reserve(const TokenRequest& aRequest, TimePoint aGiveUpAt, Callback aDone);
+  void Settle(const TurnReservation& aReservation, int64_t aUsed);
+  // For another host whose programs have their home here.
+  void ReserveForPeer(const TokenRequest& aRequest,
+                      Millis aWait,
+                      std::function<void(ReserveAnswer)> aDone);
+  void SettleForPeer(const TokenRequest& aRequest, int64_t aUsed);
+
+private:
+  std::string HomeOf(const std::string& aProgram, TimePoint aNow) const;
+  void ReserveHere(const TokenRequest& aRequest,
+                   BudgetUse aUse,
+                   TimePoint aGiveUpAt,
+                   Callback aDone);
+
+  std::string ownHost;
+  FleetLink& link;
+  BudgetService& service;
+  std::vector<std::string> members;
+  std::unordered_map<std::string, TimePoint> suspectUntil;
+};
+
+} // namespace tanagerseam
+
+#endif // TANAGERSEAM_GATEWAY_TURN_BUDGETS_H_
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -37,21 +37,23 @@
 BudgetService::Reserve(const std::string& aProgram,
                        int64_t aBudget,
                        int64_t aMost,
+                       BudgetUse aUse,
                        TimePoint aGiveUpAt,
                        Callback aDone)
 {
   Program& program = this->programs[aProgram];
   program.budget = aBudget;
+  program.use = aUse;
   program.usedAt = BootNow();
   if (program.available >= aMost && program.waiters.empty()) {
     program.available -= aMost;
     ++program.inFlight;
     const bool low = program.available < aMost;
     const bool mayFit = program.refusedTokens == 0;
-    if (low && mayFit && !program.asking) {
-      const int64_t span = aBudget / this->settings.grantDivisor;
-      this->Ask(
-        aProgram, std::max(aMost, span), program.usedAt + kPrefetchWithin);
+    if (low && mayFit && !program.asking && aUse == BudgetUse::kAhead) {
+      this->Ask(aProgram,
+                std::max(aMost, this->Ahead(program)),
+                program.usedAt + kPrefetchWithin);
     }
     aDone(BudgetVerdict::kReserved);
     return;
@@ -73,7 +75,23 @@
   program.available += std::max<int64_t>(0, aMost - aUsed);
   program.inFlight = std::max(0, program.inFlight - 1);
   program.usedAt = BootNow();
+  // A new sum may fit where the last one did not.
+  program.refusedTokens = 0;
   this->ServeWaiters(aProgram);
+  const bool giveBack = program.use == BudgetUse::kOnce &&
+                        program.available > 0 && program.waiters.empty() &&
+                        !program.asking;
+  if (giveBack) {
+    this->GiveBack(aProgram, program);
+  }
+}
+
+int64_t
+BudgetService::Ahead(const Program& aProgram) const
+{
+  return aProgram.use == BudgetUse::kOnce
+           ? 0
+           : aProgram.budget / this->settings.grantDivisor;
 }
 
 void
@@ -87,8 +105,8 @@
   for (const Waiter& waiter : program.waiters) {
     needed += waiter.most;
   }
-  int64_t tokens = std::max(
-    needed - program.available, program.budget / this->settings.grantDivisor);
+  int64_t tokens =
+    std::max(needed - program.available, this->Ahead(program));
   // What did not fit before won't fit now: ask for just the first turn.
   if (program.refusedTokens > 0 && tokens >= program.refusedTokens) {
     tokens = std::max<int64_t>(
--- a/program/program.h
+++ b/program/program.h
@@ -1,9 +1,8 @@
 // What belongs to a whole program: its token budget and its history.
 //
 //   BudgetService budgets(io, log, settings);
-//   budgets.Reserve("club/p-1", 2304, 288, giveUpAt, [](BudgetVerdict aVerdict) {
-//     ...
-//   });
+//   budgets.Reserve("club/p-1", 2304, 288, BudgetUse::kAhead, giveUpAt,
+//                   [](BudgetVerdict aVerdict) { ... });
 //   budgets.Settle("club/p-1", 288, 144);
 //
 //   HistoryService history(io, log, settings);
@@ -109,6 +108,15 @@
   kUnknown,
 };
 
+// How a host uses the budget of a program.
+enum class BudgetUse
+{
+  // It hands out tokens for many turns: ask for some ahead.
+  kAhead,
+  // For this turn only: what is not used goes back at once.
+  kOnce,
+};
+
 struct ProgramSettings
 {
   // Name of this start of this host; grants belong to it.
@@ -136,6 +144,7 @@
   void Reserve(const std::string& aProgram,
                int64_t aBudget,
                int64_t aMost,
+               BudgetUse aUse,
                TimePoint aGiveUpAt,
                Callback aDone);
   // Ends a reservation of aMost tokens, of which aUsed were handed out.
@@ -158,6 +167,7 @@
     int64_t available = 0;
     int inFlight = 0;
     bool asking = false;
+    BudgetUse use = BudgetUse::kAhead;
     // A grant of this size did not fit lately.
     int64_t refusedTokens = 0;
     TimePoint usedAt{};
@@ -170,6 +180,8 @@
     TimePoint usedAt{};
   };
 
+  // Tokens to ask for beyond what is needed now.
+  int64_t Ahead(const Program& aProgram) const;
   void Ask(const std::string& aProgram, int64_t aTokens, TimePoint aGiveUpAt);
   void OnAppended(const std::string& aProgram,
                   const BudgetRecord& aRecord,
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -8,21 +8,28 @@
 
 namespace {
 
-// Part of a bucket that is kept for programs that have begun.
-constexpr double kContinueReserve = 0.3;
-// Of what nobody asked for, the part that is divided equally.
-constexpr double kEqualPart = 0.5;
+// Part of the burst below which hosts keep to their own parts of the rate.
+constexpr double kPoolFloor = 0.3;
+// Part of the burst that new programs leave to those under way.
+constexpr double kBeginFloor = 0.5;
+// Part of the burst that all hosts' own buckets hold together.
+constexpr double kOwnBurst = 0.2;
+// The rate of own buckets while the pool is overdrawn.
+constexpr double kOverdrawnRate = 0.5;
+// Part of the equal share that a host has without any demand.
+constexpr double kIdlePart = 0.1;
 
 double
 SecondsBetween(TimePoint aFrom, TimePoint aTo)
 {
-  return std::chrono::duration<double>(aTo - aFrom).count();
+  return std::max(0.0, std::chrono::duration<double>(aTo - aFrom).count());
 }
 
 } // namespace
 
-FleetQuota::FleetQuota(std::string aOwnHost)
+FleetQuota::FleetQuota(std::string aOwnHost, uint64_t aStarted)
   : ownHost(std::move(aOwnHost))
+  , started(aStarted)
   , members{ this->ownHost }
 {
 }
@@ -33,9 +40,6 @@
   std::set<std::string> hosts(aHosts.begin(), aHosts.end());
   hosts.insert(this->ownHost);
   this->members.assign(hosts.begin(), hosts.end());
-  for (auto it = this->peers.begin(); it != this->peers.end();) {
-    it = hosts.count(it->first) == 0 ? this->peers.erase(it) : std::next(it);
-  }
 }
 
 void
@@ -44,19 +48,17 @@
                    bool aFull,
                    TimePoint aNow)
 {
-  auto found = this->buckets.find(aOrganisation);
-  const bool isNew = found == this->buckets.end();
+  const bool isNew = this->buckets.count(aOrganisation) == 0;
   Bucket& bucket = this->buckets[aOrganisation];
   if (isNew) {
     bucket.filledAt = aNow;
     bucket.demandAt = aNow;
+    bucket.pool = aFull ? aCap.burst : 0;
+  } else {
+    this->Fill(aOrganisation, bucket, aNow);
   }
-  this->Fill(bucket, aNow);
   bucket.cap = aCap;
-  this->Divide(aOrganisation, bucket, aNow);
-  if (isNew && aFull) {
-    bucket.level = bucket.capacity;
-  }
+  bucket.pool = std::min(bucket.pool, aCap.burst);
 }
 
 void
@@ -69,22 +71,41 @@
 }
 
 void
-FleetQuota::PeerDemand(const std::string& aHost,
-                       QuotaDemand aDemand,
+FleetQuota::PeerReport(const std::string& aHost,
+                       uint64_t aStarted,
+                       const QuotaReports& aReports,
                        TimePoint aNow)
 {
+  const bool known = this->peers.count(aHost) > 0;
   Peer& peer = this->peers[aHost];
-  peer.demand = std::move(aDemand);
-  peer.heardAt = aNow;
-}
-
-void
-FleetQuota::Rebalance(TimePoint aNow)
-{
-  for (auto& entry : this->buckets) {
-    this->Fill(entry.second, aNow);
-    this->Divide(entry.first, entry.second, aNow);
+  const bool sameStart = known && peer.started == aStarted;
+  // What an older host had admitted before this one started is not counted:
+  // the pool started empty for it.
+  const bool countAll = !sameStart && (known || aStarted > this->started);
+  for (const auto& entry : aReports) {
+    auto bucket = this->buckets.find(entry.first);
+    if (bucket == this->buckets.end()) {
+      continue;
+    }
+    auto before = peer.reports.find(entry.first);
+    const bool hasBefore = sameStart && before != peer.reports.end();
+    const uint64_t from = hasBefore ? before->second.admitted : 0;
+    if ((sameStart || countAll) && entry.second.admitted > from) {
+      this->Fill(entry.first, bucket->second, aNow);
+      bucket->second.pool -= static_cast<double>(entry.second.admitted - from);
+    }
+  }
+  if (!sameStart) {
+    peer.reports.clear();
+  }
+  for (auto& entry : peer.reports) {
+    entry.second.demand = 0;
+  }
+  for (const auto& entry : aReports) {
+    peer.reports[entry.first] = entry.second;
   }
+  peer.started = aStarted;
+  peer.heardAt = aNow;
 }
 
 size_t
@@ -93,7 +114,7 @@
   size_t heard = 1;
   for (const std::string& member : this->members) {
     auto peer = this->peers.find(member);
-    if (peer != this->peers.end() &&
+    if (member != this->ownHost && peer != this->peers.end() &&
         aNow - peer->second.heardAt <= kHeardWithin) {
       ++heard;
     }
@@ -101,49 +122,57 @@
   return heard;
 }
 
-void
-FleetQuota::Divide(const std::string& aName, Bucket& aBucket, TimePoint aNow)
+double
+FleetQuota::Reachable(TimePoint aNow) const
 {
-  const double own = DemandAt(aBucket, aNow);
+  const double heard = static_cast<double>(this->Heard(aNow));
+  return std::min(1.0, heard / static_cast<double>(this->members.size()));
+}
+
+double
+FleetQuota::Part(const std::string& aName,
+                 const Bucket& aBucket,
+                 TimePoint aNow) const
+{
+  const double heard = static_cast<double>(this->Heard(aNow));
+  const double idle = aBucket.cap.ratePerSecond * kIdlePart / heard;
+  const double own = DemandAt(aBucket, aNow) + idle;
   double asked = own;
   for (const auto& peer : this->peers) {
     if (aNow - peer.second.heardAt > kHeardWithin) {
       continue;
     }
-    auto demand = peer.second.demand.find(aName);
-    asked += demand == peer.second.demand.end() ? 0 : demand->second;
-  }
-  const double heard = static_cast<double>(this->Heard(aNow));
-  const double all = static_cast<double>(this->members.size());
-  const double reachable = std::min(1.0, heard / all);
-  const double rate = aBucket.cap.ratePerSecond * reachable;
-  const double proportion = asked > 0 ? own / asked : 1 / heard;
-  const double rest = rate - asked;
-  if (rest <= 0) {
-    aBucket.rate = rate * proportion;
-  } else {
-    aBucket.rate =
-      own + rest * (kEqualPart / heard + (1 - kEqualPart) * proportion);
+    auto report = peer.second.reports.find(aName);
+    asked += idle;
+    asked += report == peer.second.reports.end() ? 0 : report->second.demand;
   }
-  const double part = rate > 0 ? aBucket.rate / rate : 1 / heard;
-  aBucket.capacity = aBucket.cap.burst * reachable * part;
-  aBucket.level = std::min(aBucket.level, std::max(1.0, aBucket.capacity));
+  return asked > 0 ? own / asked : 1 / heard;
 }
 
 void
-FleetQuota::Fill(Bucket& aBucket, TimePoint aNow) const
+FleetQuota::Fill(const std::string& aName, Bucket& aBucket, TimePoint aNow)
 {
-  const double seconds = std::max(0.0, SecondsBetween(aBucket.filledAt, aNow));
+  const double seconds = SecondsBetween(aBucket.filledAt, aNow);
+  if (seconds <= 0) {
+    return;
+  }
   aBucket.filledAt = aNow;
-  const double capacity = std::max(1.0, aBucket.capacity);
-  aBucket.level = std::min(capacity, aBucket.level + seconds * aBucket.rate);
+  const double reachable = this->Reachable(aNow);
+  const double burst = aBucket.cap.burst * reachable;
+  const double rate = aBucket.cap.ratePerSecond * reachable;
+  aBucket.pool = std::min(burst, aBucket.pool + seconds * rate);
+  const double part = this->Part(aName, aBucket, aNow);
+  const double slowed = aBucket.pool < 0 ? kOverdrawnRate : 1;
+  const double capacity = std::max(1.0, burst * kOwnBurst * part);
+  aBucket.own =
+    std::min(capacity, aBucket.own + seconds * rate * part * slowed);
 }
 
 double
 FleetQuota::DemandAt(const Bucket& aBucket, TimePoint aNow)
 {
   const double window = std::chrono::duration<double>(kDemandWindow).count();
-  const double seconds = std::max(0.0, SecondsBetween(aBucket.demandAt, aNow));
+  const double seconds = SecondsBetween(aBucket.demandAt, aNow);
   return aBucket.demand * std::exp(-seconds / window);
 }
 
@@ -161,18 +190,22 @@
   bucket.demand = DemandAt(bucket, aNow) + 1 / window;
   bucket.demandAt = aNow;
   if (bucket.cap.ratePerSecond <= 0) {
+    ++bucket.admitted;
     return true;
   }
-  this->Fill(bucket, aNow);
-  const double reserve =
-    aUse == QuotaUse::kBegin ? bucket.capacity * kContinueReserve : 0;
-  if (bucket.level < 1 + reserve && bucket.level < bucket.capacity) {
+  this->Fill(aOrganisation, bucket, aNow);
+  const double burst = bucket.cap.burst * this->Reachable(aNow);
+  if (aUse == QuotaUse::kBegin && bucket.pool < burst * kBeginFloor) {
     return false;
   }
-  if (bucket.level < 1) {
-    return false;
+  if (bucket.pool < burst * kPoolFloor + 1) {
+    if (bucket.own < 1) {
+      return false;
+    }
+    bucket.own -= 1;
   }
-  bucket.level -= 1;
+  bucket.pool -= 1;
+  ++bucket.admitted;
   return true;
 }
 
@@ -180,36 +213,55 @@
 FleetQuota::Return(const std::string& aOrganisation)
 {
   auto found = this->buckets.find(aOrganisation);
-  if (found != this->buckets.end()) {
-    Bucket& bucket = found->second;
-    bucket.level = std::min(std::max(1.0, bucket.capacity), bucket.level + 1);
+  if (found == this->buckets.end() || found->second.admitted == 0) {
+    return;
   }
+  // The peers may have taken it out of their copies; theirs stay lower.
+  found->second.pool += 1;
 }
 
 Millis
 FleetQuota::NextAfter(const std::string& aOrganisation, Millis aMost) const
 {
   auto found = this->buckets.find(aOrganisation);
-  if (found == this->buckets.end() || found->second.rate <= 0) {
-    return aMost;
+  if (found == this->buckets.end() || found->second.cap.ratePerSecond <= 0) {
+    return Millis(0);
   }
   const Bucket& bucket = found->second;
-  const double seconds = std::max(0.0, 1 - bucket.level) / bucket.rate;
-  const Millis wait(static_cast<int64_t>(std::ceil(seconds * 1000)));
-  return std::min(aMost, wait);
+  const double missing = bucket.cap.burst * kBeginFloor - bucket.pool;
+  const double seconds =
+    std::max(0.0, missing) / std::max(1.0, bucket.cap.ratePerSecond);
+  return std::min(aMost, Millis(static_cast<int64_t>(seconds * 1000)));
 }
 
-QuotaDemand
-FleetQuota::OwnDemand(TimePoint aNow) const
+QuotaReports
+FleetQuota::OwnReports(TimePoint aNow) const
 {
-  QuotaDemand demand;
+  constexpr double kLeastDemand = 0.01;
+  QuotaReports reports;
   for (const auto& entry : this->buckets) {
-    const double rate = DemandAt(entry.second, aNow);
-    if (rate > 0.01) {
-      demand[entry.first] = rate;
+    const double demand = DemandAt(entry.second, aNow);
+    if (demand > kLeastDemand) {
+      reports[entry.first] = { demand, entry.second.admitted };
     }
   }
-  return demand;
+  return reports;
+}
+
+QuotaView
+FleetQuota::View(const std::string& aOrganisation, TimePoint aNow) const
+{
+  QuotaView view;
+  view.heard = this->Heard(aNow);
+  view.members = this->members.size();
+  auto found = this->buckets.find(aOrganisation);
+  if (found != this->buckets.end()) {
+    view.pool = found->second.pool;
+    view.own = found->second.own;
+    view.rate = found->second.cap.ratePerSecond;
+    view.part = this->Part(aOrganisation, found->second, aNow);
+  }
+  return view;
 }
 
 } // namespace tanagerseam
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -1,27 +1,34 @@
 // Rate and burst of each organisation over the whole fleet, without a
 // coordinator.
 //
-//   FleetQuota quota("host-1");
+//   FleetQuota quota("host-1", started);
 //   quota.SetMembers({ "host-1", "host-2" });
 //   quota.SetCap("ski-club", { 155, 155 }, false, now);
-//   quota.PeerDemand("host-2", { { "ski-club", 40 } }, now);
-//   quota.Rebalance(now);
+//   quota.PeerReport("host-2", started2, { { "ski-club", { 40, 1200 } } }, now);
 //   if (!quota.Admit("ski-club", QuotaUse::kContinue, now)) { ... refuse ... }
 //
-// Each host has a token bucket of its own for each organisation. Hosts tell
-// each other how many calls a second were asked of them. Of the cap each host
-// takes what was asked of it, and of the rest half in equal parts and half in
-// proportion; if more was asked than the cap holds, all in proportion.
+// Hosts tell each other how many calls of each organisation they have admitted
+// since they started, and how many were asked of them. From that each host
+// keeps its own copy of one bucket for the whole fleet, the pool: it fills at
+// the organisation's rate up to its burst, and every host's calls come out of
+// it. While the pool is well filled, a call is admitted wherever it comes in;
+// so the part of an organisation with few calls is never too small to use. The
+// copies are as old as the last reports; so below a floor each host keeps to a
+// small bucket of its own that fills at its part of the rate, in proportion to
+// what is asked of it.
 //
-// Invariant: the parts of all hosts together are at most the cap. A member that
-// has not been heard of for kHeardWithin keeps an equal part of the cap for
-// itself, and those that hear each other divide what is left; so each side of a
-// partition stays within its own part.
+// Bound: burst + rate x time, and what all hosts admit between two reports
+// while the pool is above its floor. The pool goes below zero then, and
+// later calls pay for it.
 //
-// A program that has begun goes before a new one: a new one is admitted only
-// while its organisation's bucket is filled above a reserve.
+// Partitions: a member that was not heard of within kHeardWithin is taken to
+// use an equal part of rate and burst, and those that hear each other share the
+// rest. So each side of a partition stays within its own part.
 //
-// Cost: Rebalance walks organisations times members that asked for something.
+// A program that has begun goes before a new one, which is admitted only while
+// the pool is filled well above its floor.
+//
+// Cost: Admit is constant; a report costs its number of organisations.
 #ifndef TANAGERSEAM_QUOTA_QUOTA_H_
 #define TANAGERSEAM_QUOTA_QUOTA_H_
 
@@ -48,18 +55,37 @@
   kContinue,
 };
 
-// Calls a second that were asked of one host, by organisation.
-using QuotaDemand = std::unordered_map<std::string, double>;
+// What one host says of one organisation.
+struct QuotaReport
+{
+  // Calls a second that are asked of the host.
+  double demand = 0;
+  // Calls that it has admitted since its start.
+  uint64_t admitted = 0;
+};
+
+using QuotaReports = std::unordered_map<std::string, QuotaReport>;
+
+// What decided about a call; for logs.
+struct QuotaView
+{
+  double pool = 0;
+  double own = 0;
+  double rate = 0;
+  double part = 0;
+  size_t heard = 0;
+  size_t members = 0;
+};
 
 class FleetQuota
 {
 public:
   // A member that was not heard of for longer counts as cut off.
-  static constexpr Millis kHeardWithin{ 1500 };
+  static constexpr Millis kHeardWithin{ 2000 };
   // The time over which demand is averaged.
   static constexpr Millis kDemandWindow{ 1000 };
 
-  explicit FleetQuota(std::string aOwnHost);
+  FleetQuota(std::string aOwnHost, uint64_t aStarted);
 
   // All members of the fleet, with or without this host.
   void SetMembers(const std::vector<std::string>& aHosts);
@@ -71,48 +97,54 @@
               TimePoint aNow);
   // Organisations that are not in aKept lose their buckets.
   void KeepOnly(const std::vector<std::string>& aKept);
-  void PeerDemand(const std::string& aHost,
-                  QuotaDemand aDemand,
+  void PeerReport(const std::string& aHost,
+                  uint64_t aStarted,
+                  const QuotaReports& aReports,
                   TimePoint aNow);
-  // Divides the caps anew.
-  void Rebalance(TimePoint aNow);
 
   // Takes one call out of the bucket, or refuses it.
   bool Admit(const std::string& aOrganisation, QuotaUse aUse, TimePoint aNow);
   // Gives back a call that did not run.
   void Return(const std::string& aOrganisation);
-  // Time until the bucket holds one call more; at most aMost.
+  // Time until a call more can be admitted; at most aMost.
   Millis NextAfter(const std::string& aOrganisation, Millis aMost) const;
-  // What was asked of this host; for the other members.
-  QuotaDemand OwnDemand(TimePoint aNow) const;
+  QuotaReports OwnReports(TimePoint aNow) const;
+  QuotaView View(const std::string& aOrganisation, TimePoint aNow) const;
   // Members that were heard of lately, with this host.
   size_t Heard(TimePoint aNow) const;
-  size_t Members() const { return this->members.size(); }
 
 private:
   struct Bucket
   {
     QuotaCap cap;
-    // This host's part of the cap.
-    double rate = 0;
-    double capacity = 0;
-    double level = 0;
+    // Calls that the fleet may still make at once.
+    double pool = 0;
+    // Calls of this host's own part.
+    double own = 0;
     TimePoint filledAt{};
     // Calls a second asked of this host, averaged, as of demandAt.
     double demand = 0;
     TimePoint demandAt{};
+    uint64_t admitted = 0;
   };
   struct Peer
   {
-    QuotaDemand demand;
+    uint64_t started = 0;
+    QuotaReports reports;
     TimePoint heardAt{};
   };
 
-  void Fill(Bucket& aBucket, TimePoint aNow) const;
-  void Divide(const std::string& aName, Bucket& aBucket, TimePoint aNow);
+  void Fill(const std::string& aName, Bucket& aBucket, TimePoint aNow);
+  // Part of the fleet that this host hears, itself included.
+  double Reachable(TimePoint aNow) const;
+  // This host's part of what is asked of the hosts it hears.
+  double Part(const std::string& aName,
+              const Bucket& aBucket,
+              TimePoint aNow) const;
   static double DemandAt(const Bucket& aBucket, TimePoint aNow);
 
   std::string ownHost;
+  uint64_t started;
   std::vector<std::string> members;
   std::unordered_map<std::string, Peer> peers;
   std::unordered_map<std::string, Bucket> buckets;
