--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -25,6 +25,7 @@
 constexpr Millis kAnnounceTimeout(1500);
 // A member that has not announced itself for so long is gone.
 constexpr Millis kMemberLife(14000);
+constexpr Millis kOldMemberLife(6000);
 constexpr Millis kLookAtFileEvery(2000);
 // Before the kill, for what is left to be written.
 constexpr Millis kShutdownMargin(700);
@@ -74,7 +75,7 @@
 struct Announcement
 {
   FleetMember member;
-  TimePoint seenAt{};
+  TimePoint goneAt{};
 };
 
 std::optional<FleetMember>
@@ -186,6 +187,7 @@
     };
     handlers.onLost = [this](LogFault) {
       this->NoteDependency("configuration", this->configurationLost, true);
+      this->gateway.CatalogLost();
     };
     return handlers;
   }
@@ -236,10 +238,15 @@
         return;
       }
       if (const auto member = ReadMember(aKey, *aValue)) {
-        this->announced[aKey] = { *member, BootNow() };
+        // How old a record is that was there before is not known.
+        const Millis life = this->membersKnown ? kMemberLife : kOldMemberLife;
+        this->announced[aKey] = { *member, BootNow() + life };
       }
     };
-    handlers.onConfirmed = [this](TimePoint) { this->UpdateMembers(); };
+    handlers.onConfirmed = [this](TimePoint) {
+      this->membersKnown = true;
+      this->UpdateMembers();
+    };
     handlers.onLost = [](LogFault) {};
     return handlers;
   }
@@ -249,7 +256,7 @@
     const TimePoint now = BootNow();
     std::vector<FleetMember> present;
     for (auto it = this->announced.begin(); it != this->announced.end();) {
-      if (now - it->second.seenAt > kMemberLife) {
+      if (now > it->second.goneAt) {
         LogInfo("member_gone", { { "member", it->first } });
         it = this->announced.erase(it);
       } else {
@@ -436,6 +443,7 @@
   std::unordered_map<std::string, int64_t> newestBorn;
   bool configurationLost = false;
   bool serversLost = false;
+  bool membersKnown = false;
   bool acceptingStopped = false;
   TimePoint stopAskedAt{};
 };
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -44,6 +44,9 @@
   double demand = 0;
   // Calls admitted since the host's start.
   uint64_t admitted = 0;
+  // Programs begun since then, and the calls set aside for them.
+  uint64_t begun = 0;
+  double promised = 0;
 };
 
 struct HostReport
@@ -55,26 +58,40 @@
   // Calls under way, by endpoint.
   std::unordered_map<std::string, int> endpointCalls;
   std::unordered_map<std::string, OrganisationUse> organisations;
+  // The host can't reach the platform's store.
+  bool storeLost = false;
 };
 
 // Tokens of a program's budget that a turn may need.
 struct TokenRequest
 {
   std::string program;
+  std::string organisation;
+  // The turn goes on from another one: its program has certainly begun.
+  bool continues = false;
   int64_t budget = 0;
   int64_t most = 0;
 };
 
-enum class ReserveAnswer
+enum class ReserveVerdict
 {
   kReserved,
   kSpent,
   // The program's host can't tell.
   kUnknown,
+  // The organisation's quota holds no new program now.
+  kOverQuota,
   // No answer came; the tokens may have been set aside.
   kNoAnswer,
 };
 
+struct ReserveAnswer
+{
+  ReserveVerdict verdict = ReserveVerdict::kUnknown;
+  // It is the first turn of its program.
+  bool begins = false;
+};
+
 struct FleetHandlers
 {
   std::function<void(const HostReport&)> onReport;
@@ -116,7 +133,7 @@
   void SetPeers(std::vector<FleetMember> aPeers);
   void SendReport(HostReport aReport);
   // Asks aHost; answers kNoAnswer after aWait, and for a host that is no peer.
-  // Each reservation but those answered kSpent and kUnknown is to be settled.
+  // Each reservation answered kReserved or kNoAnswer is to be settled.
   uint64_t Reserve(const std::string& aHost,
                    const TokenRequest& aRequest,
                    Millis aWait,
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -21,6 +21,7 @@
 {
   fleetwire::LoadReportT table;
   table.sequence = aReport.sequence;
+  table.store_lost = aReport.storeLost;
   for (const auto& entry : aReport.endpointCalls) {
     auto calls = std::make_unique<fleetwire::EndpointCallsT>();
     calls->endpoint = entry.first;
@@ -32,6 +33,8 @@
     use->organisation = entry.first;
     use->demand = static_cast<float>(entry.second.demand);
     use->admitted = entry.second.admitted;
+    use->begun = entry.second.begun;
+    use->promised = entry.second.promised;
     table.organisations.push_back(std::move(use));
   }
   if (table.organisations.size() > FleetLink::kMaxOrganisations) {
@@ -52,24 +55,29 @@
   report.host = aDatagram.host;
   report.started = aDatagram.started;
   report.sequence = aTable.sequence;
+  report.storeLost = aTable.store_lost;
   for (const auto& entry : aTable.endpoints) {
     report.endpointCalls[entry->endpoint] = entry->calls;
   }
   for (const auto& entry : aTable.organisations) {
-    report.organisations[entry->organisation] = { entry->demand,
-                                                  entry->admitted };
+    report.organisations[entry->organisation] = {
+      entry->demand, entry->admitted, entry->begun, entry->promised
+    };
   }
   return report;
 }
 
-ReserveAnswer
+ReserveVerdict
 VerdictFromWire(uint8_t aVerdict)
 {
-  constexpr std::array<ReserveAnswer, 3> kVerdicts = {
-    ReserveAnswer::kReserved, ReserveAnswer::kSpent, ReserveAnswer::kUnknown
+  constexpr std::array<ReserveVerdict, 4> kVerdicts = {
+    ReserveVerdict::kReserved,
+    ReserveVerdict::kSpent,
+    ReserveVerdict::kUnknown,
+    ReserveVerdict::kOverQuota,
   };
   return aVerdict < kVerdicts.size() ? kVerdicts[aVerdict]
-                                     : ReserveAnswer::kUnknown;
+                                     : ReserveVerdict::kUnknown;
 }
 
 } // namespace
@@ -148,7 +156,7 @@
     const bool over = BootNow() >= question.giveUpAt ||
                       question.triesLeft == 0 || peer == this->peers.end();
     if (over) {
-      this->Answered(aRequest, ReserveAnswer::kNoAnswer);
+      this->Answered(aRequest, { ReserveVerdict::kNoAnswer, false });
       return;
     }
     --question.triesLeft;
@@ -213,7 +221,8 @@
         break;
       case fleetwire::Body::TokensReserved: {
         const auto* answer = datagram.body.AsTokensReserved();
-        this->Answered(answer->request, VerdictFromWire(answer->verdict));
+        this->Answered(answer->request,
+                       { VerdictFromWire(answer->verdict), answer->begins });
         break;
       }
       case fleetwire::Body::SettleTokens:
@@ -221,7 +230,7 @@
         break;
       case fleetwire::Body::TokensSettled:
         this->Answered(datagram.body.AsTokensSettled()->request,
-                       ReserveAnswer::kReserved);
+                       { ReserveVerdict::kReserved, false });
         break;
       default:
         LogWarn("peer_message_unknown", { { "from", datagram.host } });
@@ -255,12 +264,18 @@
     return questions;
   }
 
+  static bool IsReserved(const PeerQuestion& aQuestion)
+  {
+    return aQuestion.answer &&
+           aQuestion.answer->verdict == ReserveVerdict::kReserved;
+  }
+
   // The peer died with what it had reserved.
   void SettleAll(PeerQuestions& aFormer)
   {
     for (auto& entry : aFormer.byNumber) {
       PeerQuestion& question = entry.second;
-      if (question.answer == ReserveAnswer::kReserved && !question.settled) {
+      if (IsReserved(question) && !question.settled) {
         this->handlers.onSettle(question.request, question.request.most);
       }
     }
@@ -288,7 +303,8 @@
   {
     fleetwire::TokensReservedT table;
     table.request = aNumber;
-    table.verdict = static_cast<uint8_t>(aAnswer);
+    table.verdict = static_cast<uint8_t>(aAnswer.verdict);
+    table.begins = aAnswer.begins;
     this->SendTo(aTo, this->Encode(std::move(table)));
   }
 
@@ -298,7 +314,9 @@
     PeerQuestions& known = this->QuestionsOf(aDatagram);
     const uint64_t number = table.request;
     const auto from = this->sender;
-    const TokenRequest request{ table.program, table.budget, table.most };
+    const TokenRequest request{ table.program,   table.organisation,
+                                table.continues, table.budget,
+                                table.most };
     if (!Note(known, number, { request, std::nullopt, false })) {
       if (const auto answer = known.byNumber[number].answer) {
         this->TellReserved(from, number, *answer);
@@ -322,7 +340,7 @@
   {
     auto& byNumber = this->questions[aHost].byNumber;
     auto found = byNumber.find(aNumber);
-    const bool reserved = aAnswer == ReserveAnswer::kReserved;
+    const bool reserved = aAnswer.verdict == ReserveVerdict::kReserved;
     if (found == byNumber.end()) {
       // Asked by a start of the peer that is over.
       if (reserved) {
@@ -349,7 +367,7 @@
     }
     PeerQuestion& question = found->second;
     question.settled = true;
-    if (question.answer == ReserveAnswer::kReserved) {
+    if (IsReserved(question)) {
       this->handlers.onSettle(question.request, table.used);
     }
   }
@@ -440,6 +458,8 @@
   fleetwire::ReserveTokensT table;
   table.request = number;
   table.program = aRequest.program;
+  table.organisation = aRequest.organisation;
+  table.continues = aRequest.continues;
   table.budget = aRequest.budget;
   table.most = aRequest.most;
   table.wait_ms = static_cast<uint32_t>(std::max<int64_t>(1, aWait.count()));
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -300,6 +300,8 @@
   std::string organisation{};
   float demand = 0.0f;
   uint64_t admitted = 0;
+  uint64_t begun = 0;
+  double promised = 0.0;
 };
 
 struct OrganisationUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -309,7 +311,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ORGANISATION = 4,
     VT_DEMAND = 6,
-    VT_ADMITTED = 8
+    VT_ADMITTED = 8,
+    VT_BEGUN = 10,
+    VT_PROMISED = 12
   };
   const flatbuffers::String *organisation() const {
     return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
@@ -320,12 +324,20 @@
   uint64_t admitted() const {
     return GetField<uint64_t>(VT_ADMITTED, 0);
   }
+  uint64_t begun() const {
+    return GetField<uint64_t>(VT_BEGUN, 0);
+  }
+  double promised() const {
+    return GetField<double>(VT_PROMISED, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ORGANISATION) &&
            verifier.VerifyString(organisation()) &&
            VerifyField<float>(verifier, VT_DEMAND, 4) &&
            VerifyField<uint64_t>(verifier, VT_ADMITTED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BEGUN, 8) &&
+           VerifyField<double>(verifier, VT_PROMISED, 8) &&
            verifier.EndTable();
   }
   OrganisationUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -346,6 +358,12 @@
   void add_admitted(uint64_t admitted) {
     fbb_.AddElement<uint64_t>(OrganisationUse::VT_ADMITTED, admitted, 0);
   }
+  void add_begun(uint64_t begun) {
+    fbb_.AddElement<uint64_t>(OrganisationUse::VT_BEGUN, begun, 0);
+  }
+  void add_promised(double promised) {
+    fbb_.AddElement<double>(OrganisationUse::VT_PROMISED, promised, 0.0);
+  }
   explicit OrganisationUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -361,8 +379,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> organisation = 0,
     float demand = 0.0f,
-    uint64_t admitted = 0) {
+    uint64_t admitted = 0,
+    uint64_t begun = 0,
+    double promised = 0.0) {
   OrganisationUseBuilder builder_(_fbb);
+  builder_.add_promised(promised);
+  builder_.add_begun(begun);
   builder_.add_admitted(admitted);
   builder_.add_demand(demand);
   builder_.add_organisation(organisation);
@@ -378,13 +400,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *organisation = nullptr,
     float demand = 0.0f,
-    uint64_t admitted = 0) {
+    uint64_t admitted = 0,
+    uint64_t begun = 0,
+    double promised = 0.0) {
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   return tanagerseam::fleetwire::CreateOrganisationUse(
       _fbb,
       organisation__,
       demand,
-      admitted);
+      admitted,
+      begun,
+      promised);
 }
 
 flatbuffers::Offset<OrganisationUse> CreateOrganisationUse(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -394,6 +420,7 @@
   uint64_t sequence = 0;
   std::vector<std::unique_ptr<tanagerseam::fleetwire::EndpointCallsT>> endpoints{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::OrganisationUseT>> organisations{};
+  bool store_lost = false;
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -407,7 +434,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SEQUENCE = 4,
     VT_ENDPOINTS = 6,
-    VT_ORGANISATIONS = 8
+    VT_ORGANISATIONS = 8,
+    VT_STORE_LOST = 10
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -418,6 +446,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *organisations() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *>(VT_ORGANISATIONS);
   }
+  bool store_lost() const {
+    return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -427,6 +458,7 @@
            VerifyOffset(verifier, VT_ORGANISATIONS) &&
            verifier.VerifyVector(organisations()) &&
            verifier.VerifyVectorOfTables(organisations()) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -447,6 +479,9 @@
   void add_organisations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>> organisations) {
     fbb_.AddOffset(LoadReport::VT_ORGANISATIONS, organisations);
   }
+  void add_store_lost(bool store_lost) {
+    fbb_.AddElement<uint8_t>(LoadReport::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -462,11 +497,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>>> endpoints = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>> organisations = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>> organisations = 0,
+    bool store_lost = false) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_organisations(organisations);
   builder_.add_endpoints(endpoints);
+  builder_.add_store_lost(store_lost);
   return builder_.Finish();
 }
 
@@ -479,14 +516,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> *endpoints = nullptr,
-    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *organisations = nullptr) {
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *organisations = nullptr,
+    bool store_lost = false) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>(*organisations) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       sequence,
       endpoints__,
-      organisations__);
+      organisations__,
+      store_lost);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -498,6 +537,8 @@
   int64_t budget = 0;
   int64_t most = 0;
   uint32_t wait_ms = 0;
+  std::string organisation{};
+  bool continues = false;
 };
 
 struct ReserveTokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -509,7 +550,9 @@
     VT_PROGRAM = 6,
     VT_BUDGET = 8,
     VT_MOST = 10,
-    VT_WAIT_MS = 12
+    VT_WAIT_MS = 12,
+    VT_ORGANISATION = 14,
+    VT_CONTINUES = 16
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -526,6 +569,12 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  bool continues() const {
+    return GetField<uint8_t>(VT_CONTINUES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -534,6 +583,9 @@
            VerifyField<int64_t>(verifier, VT_BUDGET, 8) &&
            VerifyField<int64_t>(verifier, VT_MOST, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<uint8_t>(verifier, VT_CONTINUES, 1) &&
            verifier.EndTable();
   }
   ReserveTokensT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -560,6 +612,12 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(ReserveTokens::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(ReserveTokens::VT_ORGANISATION, organisation);
+  }
+  void add_continues(bool continues) {
+    fbb_.AddElement<uint8_t>(ReserveTokens::VT_CONTINUES, static_cast<uint8_t>(continues), 0);
+  }
   explicit ReserveTokensBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -577,13 +635,17 @@
     flatbuffers::Offset<flatbuffers::String> program = 0,
     int64_t budget = 0,
     int64_t most = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    bool continues = false) {
   ReserveTokensBuilder builder_(_fbb);
   builder_.add_most(most);
   builder_.add_budget(budget);
   builder_.add_request(request);
+  builder_.add_organisation(organisation);
   builder_.add_wait_ms(wait_ms);
   builder_.add_program(program);
+  builder_.add_continues(continues);
   return builder_.Finish();
 }
 
@@ -598,15 +660,20 @@
     const char *program = nullptr,
     int64_t budget = 0,
     int64_t most = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    const char *organisation = nullptr,
+    bool continues = false) {
   auto program__ = program ? _fbb.CreateString(program) : 0;
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   return tanagerseam::fleetwire::CreateReserveTokens(
       _fbb,
       request,
       program__,
       budget,
       most,
-      wait_ms);
+      wait_ms,
+      organisation__,
+      continues);
 }
 
 flatbuffers::Offset<ReserveTokens> CreateReserveTokens(flatbuffers::FlatBufferBuilder &_fbb, const ReserveTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -615,6 +682,7 @@
   typedef TokensReserved TableType;
   uint64_t request = 0;
   uint8_t verdict = 0;
+  bool begins = false;
 };
 
 struct TokensReserved FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -623,7 +691,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
-    VT_VERDICT = 6
+    VT_VERDICT = 6,
+    VT_BEGINS = 8
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -631,10 +700,14 @@
   uint8_t verdict() const {
     return GetField<uint8_t>(VT_VERDICT, 0);
   }
+  bool begins() const {
+    return GetField<uint8_t>(VT_BEGINS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_BEGINS, 1) &&
            verifier.EndTable();
   }
   TokensReservedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -652,6 +725,9 @@
   void add_verdict(uint8_t verdict) {
     fbb_.AddElement<uint8_t>(TokensReserved::VT_VERDICT, verdict, 0);
   }
+  void add_begins(bool begins) {
+    fbb_.AddElement<uint8_t>(TokensReserved::VT_BEGINS, static_cast<uint8_t>(begins), 0);
+  }
   explicit TokensReservedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -666,9 +742,11 @@
 inline flatbuffers::Offset<TokensReserved> CreateTokensReserved(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t request = 0,
-    uint8_t verdict = 0) {
+    uint8_t verdict = 0,
+    bool begins = false) {
   TokensReservedBuilder builder_(_fbb);
   builder_.add_request(request);
+  builder_.add_begins(begins);
   builder_.add_verdict(verdict);
   return builder_.Finish();
 }
@@ -1002,6 +1080,8 @@
   { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
   { auto _e = demand(); _o->demand = _e; }
   { auto _e = admitted(); _o->admitted = _e; }
+  { auto _e = begun(); _o->begun = _e; }
+  { auto _e = promised(); _o->promised = _e; }
 }
 
 inline flatbuffers::Offset<OrganisationUse> OrganisationUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1015,15 +1095,20 @@
   auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
   auto _demand = _o->demand;
   auto _admitted = _o->admitted;
+  auto _begun = _o->begun;
+  auto _promised = _o->promised;
   return tanagerseam::fleetwire::CreateOrganisationUse(
       _fbb,
       _organisation,
       _demand,
-      _admitted);
+      _admitted,
+      _begun,
+      _promised);
 }
 
 inline LoadReportT::LoadReportT(const LoadReportT &o)
-      : sequence(o.sequence) {
+      : sequence(o.sequence),
+        store_lost(o.store_lost) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new tanagerseam::fleetwire::EndpointCallsT(*endpoints_) : nullptr); }
   organisations.reserve(o.organisations.size());
@@ -1034,6 +1119,7 @@
   std::swap(sequence, o.sequence);
   std::swap(endpoints, o.endpoints);
   std::swap(organisations, o.organisations);
+  std::swap(store_lost, o.store_lost);
   return *this;
 }
 
@@ -1049,6 +1135,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::EndpointCallsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = std::unique_ptr<tanagerseam::fleetwire::OrganisationUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = store_lost(); _o->store_lost = _e; }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1062,11 +1149,13 @@
   auto _sequence = _o->sequence;
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointCalls(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _organisations = _o->organisations.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> (_o->organisations.size(), [](size_t i, _VectorArgs *__va) { return CreateOrganisationUse(*__va->__fbb, __va->__o->organisations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _store_lost = _o->store_lost;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       _sequence,
       _endpoints,
-      _organisations);
+      _organisations,
+      _store_lost);
 }
 
 inline ReserveTokensT *ReserveTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1083,6 +1172,8 @@
   { auto _e = budget(); _o->budget = _e; }
   { auto _e = most(); _o->most = _e; }
   { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = continues(); _o->continues = _e; }
 }
 
 inline flatbuffers::Offset<ReserveTokens> ReserveTokens::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReserveTokensT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1098,13 +1189,17 @@
   auto _budget = _o->budget;
   auto _most = _o->most;
   auto _wait_ms = _o->wait_ms;
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _continues = _o->continues;
   return tanagerseam::fleetwire::CreateReserveTokens(
       _fbb,
       _request,
       _program,
       _budget,
       _most,
-      _wait_ms);
+      _wait_ms,
+      _organisation,
+      _continues);
 }
 
 inline TokensReservedT *TokensReserved::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1118,6 +1213,7 @@
   (void)_resolver;
   { auto _e = request(); _o->request = _e; }
   { auto _e = verdict(); _o->verdict = _e; }
+  { auto _e = begins(); _o->begins = _e; }
 }
 
 inline flatbuffers::Offset<TokensReserved> TokensReserved::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensReservedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1130,10 +1226,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TokensReservedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _request = _o->request;
   auto _verdict = _o->verdict;
+  auto _begins = _o->begins;
   return tanagerseam::fleetwire::CreateTokensReserved(
       _fbb,
       _request,
-      _verdict);
+      _verdict,
+      _begins);
 }
 
 inline SettleTokensT *SettleTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -20,7 +20,7 @@
       self->OnClientGone();
     }
   });
-  if (!this->FindRoute() || !this->CheckKey() || !this->TakeQuota()) {
+  if (!this->FindRoute() || !this->CheckKey()) {
     return;
   }
   this->timer.expires_after(this->TimeLeft());
@@ -64,6 +64,8 @@
 CallFlow::CheckKey()
 {
   if (this->route->open || !this->catalog->AsksForKeys()) {
+    this->programKey =
+      this->call.program ? "/" + this->call.program->id : "";
     return true;
   }
   if (this->call.key.empty()) {
@@ -76,43 +78,39 @@
     return false;
   }
   this->priority = this->organisation->priority.value_or(this->priority);
+  if (this->call.program) {
+    this->programKey = this->organisation->name + "/" + this->call.program->id;
+  }
   return true;
 }
 
-// Calls of tools come from programs that have begun.
-bool
-CallFlow::BeginsProgram() const
+void
+CallFlow::RefuseForQuota()
 {
-  return this->call.program && this->route->kind == CallKind::kStream &&
-         this->call.program->previousTurn.empty() &&
-         this->state.programs.count(this->programKey) == 0;
+  const std::string& name = this->organisation->name;
+  const QuotaView view = this->state.quota.View(name, BootNow());
+  this->RefuseUntil(
+    RefusalReason::kRateExceeded,
+    "organisation " + name + " pool " + std::to_string(view.pool) + " own " +
+      std::to_string(view.own) + " promises " + std::to_string(view.promises) +
+      " calls per program " + std::to_string(view.callsPerProgram) + " rate " +
+      std::to_string(view.rate) + " part " + std::to_string(view.part) +
+      " heard " + std::to_string(view.heard) + "/" +
+      std::to_string(view.members),
+    this->ComeBackAfter());
 }
 
 bool
 CallFlow::TakeQuota()
 {
-  const std::string name =
-    this->organisation == nullptr ? "" : this->organisation->name;
-  if (this->call.program) {
-    this->programKey = name + "/" + this->call.program->id;
-  }
   if (this->organisation == nullptr) {
     return true;
   }
-  const QuotaUse use =
-    this->BeginsProgram() ? QuotaUse::kBegin : QuotaUse::kContinue;
-  if (this->state.quota.Admit(name, use, this->arrivedAt)) {
+  if (this->state.quota.Admit(this->organisation->name, BootNow())) {
     this->quotaTaken = true;
     return true;
   }
-  const QuotaView view = this->state.quota.View(name, this->arrivedAt);
-  this->RefuseUntil(
-    RefusalReason::kRateExceeded,
-    "organisation " + name + " pool " + std::to_string(view.pool) + " own " +
-      std::to_string(view.own) + " rate " + std::to_string(view.rate) +
-      " part " + std::to_string(view.part) + " heard " +
-      std::to_string(view.heard) + "/" + std::to_string(view.members),
-    this->ComeBackAfter());
+  this->RefuseForQuota();
   return false;
 }
 
@@ -154,41 +152,55 @@
   const bool counted = this->route->kind == CallKind::kStream &&
                        this->call.program && this->call.program->tokenBudget;
   if (!counted) {
-    this->Place();
+    if (this->TakeQuota()) {
+      this->Place();
+    }
     return;
   }
   const int64_t most = std::max<int64_t>(this->call.outputTokens, 1);
-  const TokenRequest request{ this->programKey,
-                              *this->call.program->tokenBudget,
-                              most };
+  TokenRequest request;
+  request.program = this->programKey;
+  request.organisation =
+    this->organisation == nullptr ? "" : this->organisation->name;
+  request.continues = !this->call.program->previousTurn.empty();
+  request.budget = *this->call.program->tokenBudget;
+  request.most = most;
   this->state.turnBudgets.Reserve(
     request,
     this->deadline,
-    [self = this->shared_from_this()](BudgetVerdict aVerdict,
+    [self = this->shared_from_this()](TurnVerdict aVerdict,
                                       const TurnReservation& aReservation) {
       self->OnTokens(aVerdict, aReservation);
     });
 }
 
 void
-CallFlow::OnTokens(BudgetVerdict aVerdict, const TurnReservation& aReservation)
+CallFlow::OnTokens(TurnVerdict aVerdict, const TurnReservation& aReservation)
 {
   if (this->ended) {
-    if (aVerdict == BudgetVerdict::kReserved) {
+    if (aVerdict == TurnVerdict::kReserved) {
       this->state.turnBudgets.Settle(aReservation, 0);
     }
     return;
   }
-  if (aVerdict == BudgetVerdict::kReserved) {
-    this->reservation = aReservation;
-    this->Place();
-  } else if (aVerdict == BudgetVerdict::kSpent) {
-    this->Refuse(RefusalReason::kBudgetExhausted,
-                 "the program's budget does not hold this turn");
-  } else {
-    this->RefuseUntil(RefusalReason::kLogUnavailable,
-                      "the program's budget can't be checked now",
-                      this->ComeBackAfter());
+  switch (aVerdict) {
+    case TurnVerdict::kReserved:
+      this->reservation = aReservation;
+      if (this->TakeQuota()) {
+        this->Place();
+      }
+      return;
+    case TurnVerdict::kSpent:
+      this->Refuse(RefusalReason::kBudgetExhausted,
+                   "the program's budget does not hold this turn");
+      return;
+    case TurnVerdict::kOverQuota:
+      this->RefuseForQuota();
+      return;
+    case TurnVerdict::kUnknown:
+      this->RefuseUntil(RefusalReason::kLogUnavailable,
+                        "the program's budget can't be checked now",
+                        this->ComeBackAfter());
   }
 }
 
@@ -200,7 +212,7 @@
   work.service = this->service;
   work.route = this->route->name;
   work.priority = this->priority;
-  work.beginsProgram = this->BeginsProgram();
+  work.beginsProgram = this->reservation && this->reservation->begins;
   work.finishAt = this->deadline;
   if (this->call.program && this->call.program->finishWithin) {
     work.finishAt = this->arrivedAt + *this->call.program->finishWithin;
@@ -227,9 +239,6 @@
                       this->ComeBackAfter());
     return;
   }
-  if (!this->programKey.empty()) {
-    this->state.programs[this->programKey].usedAt = now;
-  }
   this->placed = true;
   if (const auto* placement = std::get_if<Placement>(&choice)) {
     this->Send(*placement);
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -34,11 +34,11 @@
   bool FindRoute();
   bool CheckKey();
   bool TakeQuota();
+  void RefuseForQuota();
   void LoadHistory();
   void ReserveTokens();
-  void OnTokens(BudgetVerdict aVerdict, const TurnReservation& aReservation);
+  void OnTokens(TurnVerdict aVerdict, const TurnReservation& aReservation);
   void Place();
-  bool BeginsProgram() const;
   DispatchWork Work() const;
 
   // ---- one attempt at an endpoint
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -10,8 +10,8 @@
 namespace asio = restinio::asio_ns;
 
 constexpr Millis kTickEvery(25);
-// Programs that were not seen for so long count as new.
-constexpr Millis kForgetPrograms(60000);
+// An absence of the store that clients need not notice.
+constexpr Millis kStoreAwayAfter(700);
 
 DispatchSettings
 DispatchSettingsOf(const GatewaySettings& aSettings)
@@ -41,7 +41,12 @@
   , quota(this->settings.host, this->settings.started)
   , persistentLog(aParts.io, aParts.log)
   , budgets(this->persistentLog, ProgramSettingsOf(this->settings))
-  , turnBudgets(this->settings.host, aParts.link, this->budgets)
+  , turnBudgets(this->settings.host,
+                aParts.link,
+                this->budgets,
+                [this](const std::string& aOrganisation) {
+                  return this->quota.Begin(aOrganisation, BootNow());
+                })
   , history(this->persistentLog, ProgramSettingsOf(this->settings))
   , random(std::random_device{}())
 {
@@ -61,6 +66,13 @@
            this->settings.keyFreshness - this->settings.keyFreshnessMargin;
 }
 
+bool
+GatewayState::StoreAway(TimePoint aNow) const
+{
+  return this->storeLostSince != TimePoint{} &&
+         aNow - this->storeLostSince > kStoreAwayAfter;
+}
+
 void
 GatewayState::UpdateDispatcher()
 {
@@ -126,14 +138,16 @@
   {
     const TimePoint now = BootNow();
     this->state.budgets.Tick(now);
-    this->ForgetPrograms(now);
     HostReport told;
+    told.storeLost = this->state.StoreAway(now);
     told.host = this->state.settings.host;
     told.started = this->state.settings.started;
     told.endpointCalls = this->state.dispatcher.OwnLoads();
     for (const auto& entry : this->state.quota.OwnReports(now)) {
-      told.organisations[entry.first] = { entry.second.demand,
-                                          entry.second.admitted };
+      const QuotaReport& use = entry.second;
+      told.organisations[entry.first] = {
+        use.demand, use.admitted, use.begun, use.promised
+      };
     }
     this->state.parts.link.SendReport(std::move(told));
     this->ShowGauges(now);
@@ -146,15 +160,6 @@
     });
   }
 
-  void ForgetPrograms(TimePoint aNow)
-  {
-    auto& programs = this->state.programs;
-    for (auto it = programs.begin(); it != programs.end();) {
-      const bool forget = aNow - it->second.usedAt > kForgetPrograms;
-      it = forget ? programs.erase(it) : std::next(it);
-    }
-  }
-
   void ShowGauges(TimePoint aNow)
   {
     Metrics& metrics = this->state.parts.metrics;
@@ -180,8 +185,12 @@
       aReport.host, aReport.endpointCalls, now);
     QuotaReports uses;
     for (const auto& entry : aReport.organisations) {
-      uses[entry.first] = { entry.second.demand, entry.second.admitted };
+      const OrganisationUse& use = entry.second;
+      uses[entry.first] = {
+        use.demand, use.admitted, use.begun, use.promised
+      };
     }
+    this->state.turnBudgets.Heard(aReport.host, !aReport.storeLost, now);
     this->state.quota.PeerReport(aReport.host, aReport.started, uses, now);
   }
 
@@ -248,6 +257,7 @@
   GatewayState& state = this->impl->state;
   const bool wasFresh = state.CatalogFresh(BootNow());
   state.catalogConfirmedAt = std::max(state.catalogConfirmedAt, aAskedAt);
+  state.storeLostSince = TimePoint{};
   if (!wasFresh && state.CatalogFresh(BootNow())) {
     LogInfo("catalog_fresh",
             { { "version", std::to_string(state.catalog->Version()) } });
@@ -290,6 +300,15 @@
   state.UpdateDispatcher();
 }
 
+void
+Gateway::CatalogLost()
+{
+  GatewayState& state = this->impl->state;
+  if (state.storeLostSince == TimePoint{}) {
+    state.storeLostSince = BootNow();
+  }
+}
+
 void
 Gateway::EndpointsLost()
 {
@@ -341,8 +360,9 @@
 Gateway::Ready() const
 {
   const GatewayState& state = this->impl->state;
+  const TimePoint now = BootNow();
   return !state.draining && state.endpointsKnown &&
-         state.CatalogFresh(BootNow());
+         state.CatalogFresh(now) && !state.StoreAway(now);
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -83,6 +83,8 @@
   // Versions that are not newer are ignored.
   void SetCatalog(std::shared_ptr<const Catalog> aCatalog);
   void CatalogConfirmed(TimePoint aAskedAt);
+  // The configuration can't be read now.
+  void CatalogLost();
   void PutEndpoint(EndpointEntry aEndpoint);
   void RemoveEndpoint(const std::string& aId);
   // The registry of endpoints did not answer, or answers again.
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -16,12 +16,6 @@
 
 class CallFlow;
 
-// A program that calls of this host belonged to.
-struct KnownProgram
-{
-  TimePoint usedAt{};
-};
-
 struct GatewayState
 {
   GatewayState(GatewaySettings aSettings, GatewayParts aParts);
@@ -31,6 +25,8 @@
   Millis CatalogAge(TimePoint aNow) const;
   // Tells the dispatcher which endpoints there are.
   void UpdateDispatcher();
+  // The store has not answered for some time.
+  bool StoreAway(TimePoint aNow) const;
   // Sends the calls that waited and can go now.
   void SendWaiting();
 
@@ -40,13 +36,15 @@
   TimePoint catalogConfirmedAt{};
   EndpointTable endpoints;
   bool endpointsKnown = false;
+  // Since when the configuration or the endpoints can't be read; unset if they
+  // can.
+  TimePoint storeLostSince{};
   Dispatcher dispatcher;
   FleetQuota quota;
   PersistentLog persistentLog;
   BudgetService budgets;
   TurnBudgets turnBudgets;
   HistoryService history;
-  std::unordered_map<std::string, KnownProgram> programs;
   // Calls that wait for an endpoint or have one, by their number.
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
   uint64_t nextCall = 1;
--- a/gateway/turn_budgets.cc
+++ b/gateway/turn_budgets.cc
@@ -2,12 +2,48 @@
 
 namespace tanagerseam {
 
+namespace {
+
+TurnVerdict
+ToTurnVerdict(BudgetVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case BudgetVerdict::kReserved:
+      return TurnVerdict::kReserved;
+    case BudgetVerdict::kSpent:
+      return TurnVerdict::kSpent;
+    case BudgetVerdict::kUnknown:
+      break;
+  }
+  return TurnVerdict::kUnknown;
+}
+
+ReserveVerdict
+ToReserveVerdict(TurnVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case TurnVerdict::kReserved:
+      return ReserveVerdict::kReserved;
+    case TurnVerdict::kSpent:
+      return ReserveVerdict::kSpent;
+    case TurnVerdict::kOverQuota:
+      return ReserveVerdict::kOverQuota;
+    case TurnVerdict::kUnknown:
+      break;
+  }
+  return ReserveVerdict::kUnknown;
+}
+
+} // namespace
+
 TurnBudgets::TurnBudgets(std::string aOwnHost,
                          FleetLink& aLink,
-                         BudgetService& aService)
+                         BudgetService& aService,
+                         MayBegin aMayBegin)
   : ownHost(std::move(aOwnHost))
   , link(aLink)
   , service(aService)
+  , mayBegin(std::move(aMayBegin))
 {
 }
 
@@ -17,18 +53,39 @@
   this->members = aHosts;
 }
 
+void
+TurnBudgets::Heard(const std::string& aHost, bool aReachesLog, TimePoint aNow)
+{
+  if (aReachesLog) {
+    this->heardAt[aHost] = aNow;
+  } else {
+    this->heardAt.erase(aHost);
+  }
+}
+
+bool
+TurnBudgets::MayBeHome(const std::string& aHost, TimePoint aNow) const
+{
+  auto suspect = this->suspectUntil.find(aHost);
+  if (suspect != this->suspectUntil.end() && aNow < suspect->second) {
+    return false;
+  }
+  // With more members than a report reaches, each is heard less often.
+  const auto rounds = static_cast<int64_t>(
+    1 + this->members.size() / (FleetLink::kFanOut + 1));
+  auto heard = this->heardAt.find(aHost);
+  return heard != this->heardAt.end() &&
+         aNow - heard->second <= kHeardWithin * rounds;
+}
+
 std::string
 TurnBudgets::HomeOf(const std::string& aProgram, TimePoint aNow) const
 {
   std::string home = this->ownHost;
   uint64_t highest = StableHash(aProgram + "@" + this->ownHost);
   for (const std::string& member : this->members) {
-    auto suspect = this->suspectUntil.find(member);
-    if (suspect != this->suspectUntil.end() && aNow < suspect->second) {
-      continue;
-    }
     const uint64_t hash = StableHash(aProgram + "@" + member);
-    if (hash > highest) {
+    if (hash > highest && this->MayBeHome(member, aNow)) {
       highest = hash;
       home = member;
     }
@@ -53,20 +110,26 @@
     aRequest,
     kHomeWait,
     [this, home, aRequest, aGiveUpAt, number, done = std::move(aDone)](
-      ReserveAnswer aAnswer) {
-      if (aAnswer == ReserveAnswer::kReserved) {
-        done(BudgetVerdict::kReserved, { aRequest, home, *number });
-        return;
-      }
-      if (aAnswer == ReserveAnswer::kSpent) {
-        done(BudgetVerdict::kSpent, { aRequest, home, *number });
-        return;
-      }
-      if (aAnswer == ReserveAnswer::kNoAnswer) {
-        LogInfo("budget_home_silent",
-                { { "home", home }, { "program", aRequest.program } });
-        this->link.Settle(home, *number, 0);
-        this->suspectUntil[home] = BootNow() + kSuspectFor;
+      const ReserveAnswer& aAnswer) {
+      const TurnReservation made{ aRequest, home, *number, aAnswer.begins };
+      switch (aAnswer.verdict) {
+        case ReserveVerdict::kReserved:
+          done(TurnVerdict::kReserved, made);
+          return;
+        case ReserveVerdict::kSpent:
+          done(TurnVerdict::kSpent, made);
+          return;
+        case ReserveVerdict::kOverQuota:
+          done(TurnVerdict::kOverQuota, made);
+          return;
+        case ReserveVerdict::kNoAnswer:
+          LogInfo("budget_home_silent",
+                  { { "home", home }, { "program", aRequest.program } });
+          this->link.Settle(home, *number, 0);
+          this->suspectUntil[home] = BootNow() + kSuspectFor;
+          break;
+        case ReserveVerdict::kUnknown:
+          break;
       }
       this->ReserveHere(aRequest, BudgetUse::kOnce, aGiveUpAt, done);
     });
@@ -78,14 +141,20 @@
                          TimePoint aGiveUpAt,
                          Callback aDone)
 {
+  const bool begins =
+    !aRequest.continues && this->service.Begins(aRequest.program);
+  if (begins && !this->mayBegin(aRequest.organisation)) {
+    aDone(TurnVerdict::kOverQuota, { aRequest, "", 0, true });
+    return;
+  }
   this->service.Reserve(
     aRequest.program,
     aRequest.budget,
     aRequest.most,
     aUse,
     aGiveUpAt,
-    [aRequest, done = std::move(aDone)](BudgetVerdict aVerdict) {
-      done(aVerdict, { aRequest, "", 0 });
+    [aRequest, begins, done = std::move(aDone)](BudgetVerdict aVerdict) {
+      done(ToTurnVerdict(aVerdict), { aRequest, "", 0, begins });
     });
 }
 
@@ -104,24 +173,13 @@
                             Millis aWait,
                             std::function<void(ReserveAnswer)> aDone)
 {
-  this->service.Reserve(
-    aRequest.program,
-    aRequest.budget,
-    aRequest.most,
+  this->ReserveHere(
+    aRequest,
     BudgetUse::kAhead,
     BootNow() + aWait,
-    [done = std::move(aDone)](BudgetVerdict aVerdict) {
-      switch (aVerdict) {
-        case BudgetVerdict::kReserved:
-          done(ReserveAnswer::kReserved);
-          return;
-        case BudgetVerdict::kSpent:
-          done(ReserveAnswer::kSpent);
-          return;
-        case BudgetVerdict::kUnknown:
-          done(ReserveAnswer::kUnknown);
-          return;
-      }
+    [done = std::move(aDone)](TurnVerdict aVerdict,
+                              const TurnReservation& aReservation) {
+      done({ ToReserveVerdict(aVerdict), aReservation.begins });
     });
 }
 
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -62,6 +62,15 @@
   this->AskForWaiters(aProgram);
 }
 
+bool
+BudgetService::Begins(const std::string& aProgram) const
+{
+  auto found = this->programs.find(aProgram);
+  return found == this->programs.end() ||
+         (!found->second.served && found->second.inFlight == 0 &&
+          found->second.waiters.empty());
+}
+
 void
 BudgetService::Settle(const std::string& aProgram,
                       int64_t aMost,
@@ -74,6 +83,7 @@
   Program& program = found->second;
   program.available += std::max<int64_t>(0, aMost - aUsed);
   program.inFlight = std::max(0, program.inFlight - 1);
+  program.served = program.served || aUsed > 0;
   program.usedAt = BootNow();
   // A new sum may fit where the last one did not.
   program.refusedTokens = 0;
--- a/program/program.h
+++ b/program/program.h
@@ -147,6 +147,9 @@
                BudgetUse aUse,
                TimePoint aGiveUpAt,
                Callback aDone);
+  // No turn of the program is under way or was served, as far as this host
+  // knows.
+  bool Begins(const std::string& aProgram) const;
   // Ends a reservation of aMost tokens, of which aUsed were handed out.
   void Settle(const std::string& aProgram, int64_t aMost, int64_t aUsed);
   // Gives back what lies idle; a few times a second.
@@ -166,6 +169,7 @@
     int64_t budget = 0;
     int64_t available = 0;
     int inFlight = 0;
+    bool served = false;
     bool asking = false;
     BudgetUse use = BudgetUse::kAhead;
     // A grant of this size did not fit lately.
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -9,9 +9,19 @@
 namespace {
 
 // Part of the burst below which hosts keep to their own parts of the rate.
-constexpr double kPoolFloor = 0.3;
-// Part of the burst that new programs leave to those under way.
-constexpr double kBeginFloor = 0.5;
+constexpr double kPoolFloor = 0.15;
+// Of the pool, the part that must be left for a program to begin.
+constexpr double kBeginFloor = 0.25;
+// Of the burst, the most that a new program must find free in the promises.
+constexpr double kMostPromise = 0.5;
+// Calls of a program before any was seen, and the bounds of the average.
+constexpr double kFirstCallsPerProgram = 12;
+constexpr double kLeastCallsPerProgram = 2;
+constexpr double kMostCallsPerProgram = 80;
+// Programs that are taken for one program's calls before any was seen.
+constexpr double kPriorPrograms = 4;
+// Programs after which older ones count half.
+constexpr double kHalvingPrograms = 60;
 // Part of the burst that all hosts' own buckets hold together.
 constexpr double kOwnBurst = 0.2;
 // The rate of own buckets while the pool is overdrawn.
@@ -54,11 +64,13 @@
     bucket.filledAt = aNow;
     bucket.demandAt = aNow;
     bucket.pool = aFull ? aCap.burst : 0;
+    bucket.promises = bucket.pool;
   } else {
     this->Fill(aOrganisation, bucket, aNow);
   }
   bucket.cap = aCap;
   bucket.pool = std::min(bucket.pool, aCap.burst);
+  bucket.promises = std::min(bucket.promises, aCap.burst);
 }
 
 void
@@ -89,10 +101,16 @@
     }
     auto before = peer.reports.find(entry.first);
     const bool hasBefore = sameStart && before != peer.reports.end();
-    const uint64_t from = hasBefore ? before->second.admitted : 0;
-    if ((sameStart || countAll) && entry.second.admitted > from) {
+    const QuotaReport from = hasBefore ? before->second : QuotaReport{};
+    if ((sameStart || countAll) && entry.second.admitted >= from.admitted) {
       this->Fill(entry.first, bucket->second, aNow);
-      bucket->second.pool -= static_cast<double>(entry.second.admitted - from);
+      const double admitted =
+        static_cast<double>(entry.second.admitted - from.admitted);
+      bucket->second.pool -= admitted;
+      bucket->second.promises -= entry.second.promised - from.promised;
+      Count(bucket->second,
+            admitted,
+            static_cast<double>(entry.second.begun - from.begun));
     }
   }
   if (!sameStart) {
@@ -161,6 +179,7 @@
   const double burst = aBucket.cap.burst * reachable;
   const double rate = aBucket.cap.ratePerSecond * reachable;
   aBucket.pool = std::min(burst, aBucket.pool + seconds * rate);
+  aBucket.promises = std::min(burst, aBucket.promises + seconds * rate);
   const double part = this->Part(aName, aBucket, aNow);
   const double slowed = aBucket.pool < 0 ? kOverdrawnRate : 1;
   const double capacity = std::max(1.0, burst * kOwnBurst * part);
@@ -176,10 +195,51 @@
   return aBucket.demand * std::exp(-seconds / window);
 }
 
+double
+FleetQuota::CallsPerProgram(const Bucket& aBucket)
+{
+  const double calls =
+    (aBucket.fleetAdmitted + kPriorPrograms * kFirstCallsPerProgram) /
+    (aBucket.fleetBegun + kPriorPrograms);
+  return std::clamp(calls, kLeastCallsPerProgram, kMostCallsPerProgram);
+}
+
+void
+FleetQuota::Count(Bucket& aBucket, double aAdmitted, double aBegun)
+{
+  aBucket.fleetAdmitted += aAdmitted;
+  aBucket.fleetBegun += aBegun;
+  if (aBucket.fleetBegun > kHalvingPrograms) {
+    aBucket.fleetAdmitted /= 2;
+    aBucket.fleetBegun /= 2;
+  }
+}
+
+bool
+FleetQuota::Begin(const std::string& aOrganisation, TimePoint aNow)
+{
+  auto found = this->buckets.find(aOrganisation);
+  if (found == this->buckets.end() ||
+      found->second.cap.ratePerSecond <= 0) {
+    return true;
+  }
+  Bucket& bucket = found->second;
+  this->Fill(aOrganisation, bucket, aNow);
+  const double burst = bucket.cap.burst * this->Reachable(aNow);
+  const double calls = CallsPerProgram(bucket);
+  const double needed = std::min(calls, burst * kMostPromise);
+  if (bucket.promises < needed || bucket.pool < burst * kBeginFloor) {
+    return false;
+  }
+  bucket.promises -= calls;
+  bucket.promised += calls;
+  ++bucket.begun;
+  Count(bucket, 0, 1);
+  return true;
+}
+
 bool
-FleetQuota::Admit(const std::string& aOrganisation,
-                  QuotaUse aUse,
-                  TimePoint aNow)
+FleetQuota::Admit(const std::string& aOrganisation, TimePoint aNow)
 {
   auto found = this->buckets.find(aOrganisation);
   if (found == this->buckets.end()) {
@@ -195,9 +255,6 @@
   }
   this->Fill(aOrganisation, bucket, aNow);
   const double burst = bucket.cap.burst * this->Reachable(aNow);
-  if (aUse == QuotaUse::kBegin && bucket.pool < burst * kBeginFloor) {
-    return false;
-  }
   if (bucket.pool < burst * kPoolFloor + 1) {
     if (bucket.own < 1) {
       return false;
@@ -206,6 +263,7 @@
   }
   bucket.pool -= 1;
   ++bucket.admitted;
+  Count(bucket, 1, 0);
   return true;
 }
 
@@ -241,8 +299,11 @@
   QuotaReports reports;
   for (const auto& entry : this->buckets) {
     const double demand = DemandAt(entry.second, aNow);
-    if (demand > kLeastDemand) {
-      reports[entry.first] = { demand, entry.second.admitted };
+    if (demand > kLeastDemand || entry.second.begun > 0) {
+      const Bucket& bucket = entry.second;
+      reports[entry.first] = {
+        demand, bucket.admitted, bucket.begun, bucket.promised
+      };
     }
   }
   return reports;
@@ -258,6 +319,8 @@
   if (found != this->buckets.end()) {
     view.pool = found->second.pool;
     view.own = found->second.own;
+    view.promises = found->second.promises;
+    view.callsPerProgram = CallsPerProgram(found->second);
     view.rate = found->second.cap.ratePerSecond;
     view.part = this->Part(aOrganisation, found->second, aNow);
   }
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -5,7 +5,8 @@
 //   quota.SetMembers({ "host-1", "host-2" });
 //   quota.SetCap("ski-club", { 155, 155 }, false, now);
 //   quota.PeerReport("host-2", started2, { { "ski-club", { 40, 1200 } } }, now);
-//   if (!quota.Admit("ski-club", QuotaUse::kContinue, now)) { ... refuse ... }
+//   if (!quota.Begin("ski-club", now)) { ... refuse the program ... }
+//   if (!quota.Admit("ski-club", now)) { ... refuse the call ... }
 //
 // Hosts tell each other how many calls of each organisation they have admitted
 // since they started, and how many were asked of them. From that each host
@@ -25,8 +26,11 @@
 // use an equal part of rate and burst, and those that hear each other share the
 // rest. So each side of a partition stays within its own part.
 //
-// A program that has begun goes before a new one, which is admitted only while
-// the pool is filled well above its floor.
+// Programs are let in whole: a new one is set aside as many calls as programs
+// of its organisation have needed so far, out of a second bucket of the same
+// rate and burst, the promises. So those that are let in can run to their end,
+// and an organisation that asks for several times its rate gets its rate in
+// programs that finish.
 //
 // Cost: Admit is constant; a report costs its number of organisations.
 #ifndef TANAGERSEAM_QUOTA_QUOTA_H_
@@ -48,13 +52,6 @@
   double burst = 0;
 };
 
-enum class QuotaUse
-{
-  // The first call of a program.
-  kBegin,
-  kContinue,
-};
-
 // What one host says of one organisation.
 struct QuotaReport
 {
@@ -62,6 +59,9 @@
   double demand = 0;
   // Calls that it has admitted since its start.
   uint64_t admitted = 0;
+  // Programs begun since then, and the calls set aside for them.
+  uint64_t begun = 0;
+  double promised = 0;
 };
 
 using QuotaReports = std::unordered_map<std::string, QuotaReport>;
@@ -71,6 +71,8 @@
 {
   double pool = 0;
   double own = 0;
+  double promises = 0;
+  double callsPerProgram = 0;
   double rate = 0;
   double part = 0;
   size_t heard = 0;
@@ -103,7 +105,9 @@
                   TimePoint aNow);
 
   // Takes one call out of the bucket, or refuses it.
-  bool Admit(const std::string& aOrganisation, QuotaUse aUse, TimePoint aNow);
+  bool Admit(const std::string& aOrganisation, TimePoint aNow);
+  // Lets a new program in, or refuses it.
+  bool Begin(const std::string& aOrganisation, TimePoint aNow);
   // Gives back a call that did not run.
   void Return(const std::string& aOrganisation);
   // Time until a call more can be admitted; at most aMost.
@@ -121,11 +125,18 @@
     double pool = 0;
     // Calls of this host's own part.
     double own = 0;
+    // Calls that new programs may still be promised.
+    double promises = 0;
     TimePoint filledAt{};
     // Calls a second asked of this host, averaged, as of demandAt.
     double demand = 0;
     TimePoint demandAt{};
     uint64_t admitted = 0;
+    uint64_t begun = 0;
+    double promised = 0;
+    // Over the fleet, for the calls of a program; halved now and then.
+    double fleetAdmitted = 0;
+    double fleetBegun = 0;
   };
   struct Peer
   {
@@ -134,6 +145,8 @@
     TimePoint heardAt{};
   };
 
+  static double CallsPerProgram(const Bucket& aBucket);
+  static void Count(Bucket& aBucket, double aAdmitted, double aBegun);
   void Fill(const std::string& aName, Bucket& aBucket, TimePoint aNow);
   // Part of the fleet that this host hears, itself included.
   double Reachable(TimePoint aNow) const;
