--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -52,7 +52,8 @@
   const std::string_view path = aTarget.substr(0, aTarget.find('?'));
   size_t slash = path.rfind('/');
   while (slash != std::string_view::npos) {
-    const auto found = host->second.find(std::string(path.substr(0, slash + 1)));
+    const auto found =
+      host->second.find(std::string(path.substr(0, slash + 1)));
     if (found != host->second.end()) {
       return &this->content.routes[found->second];
     }
@@ -82,11 +83,13 @@
 const std::string&
 ChooseService(const RouteEntry& aRoute, double aDraw)
 {
-  const double total = std::accumulate(
-    aRoute.targets.begin(),
-    aRoute.targets.end(),
-    0.0,
-    [](double aSum, const RouteTarget& aTarget) { return aSum + aTarget.weight; });
+  const double total =
+    std::accumulate(aRoute.targets.begin(),
+                    aRoute.targets.end(),
+                    0.0,
+                    [](double aSum, const RouteTarget& aTarget) {
+                      return aSum + aTarget.weight;
+                    });
   double left = aDraw * total;
   for (const RouteTarget& target : aRoute.targets) {
     left -= target.weight;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -1,13 +1,15 @@
 // What the operator has configured, and which endpoints there are.
 //
 //   Catalog catalog(std::move(content));
-//   const RouteEntry* route = catalog.FindRoute("reports.example", "/ask/42?x=1");
-//   const OrganisationEntry* who = catalog.FindOrganisation("key-1");
+//   const RouteEntry* route = catalog.FindRoute("reports.example",
+//   "/ask/42?x=1"); const OrganisationEntry* who =
+//   catalog.FindOrganisation("key-1");
 //
 //   EndpointTable endpoints;
 //   endpoints.Put(entry, now);
 //   endpoints.Remove("i-17", now);
-//   for (const EndpointEntry* endpoint : endpoints.Usable("drafting", now)) { ... }
+//   for (const EndpointEntry* endpoint : endpoints.Usable("drafting", now)) {
+//   ... }
 //
 // A Catalog never changes: a new version is a new Catalog. Looking a route up
 // costs one map lookup for each segment of the path.
@@ -135,7 +137,7 @@
   // The route of the host with the longest prefix that begins the target's
   // path; nullptr if there is none.
   const RouteEntry* FindRoute(const std::string& aHost,
-                         std::string_view aTarget) const;
+                              std::string_view aTarget) const;
   const OrganisationEntry* FindOrganisation(const std::string& aKey) const;
   const ServiceEntry* FindService(const std::string& aName) const;
   // True if keys are in use at all.
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -88,8 +88,7 @@
     LogWarn("member_entry_unreadable", { { "member", aHost } });
     return std::nullopt;
   }
-  const HostPort address =
-    SplitAddress(fields["address"].get<std::string>());
+  const HostPort address = SplitAddress(fields["address"].get<std::string>());
   return FleetMember{ aHost, address.ip, address.port };
 }
 
@@ -192,7 +191,8 @@
     return handlers;
   }
 
-  void TakeServer(const std::string& aId, const std::optional<std::string>& aText)
+  void TakeServer(const std::string& aId,
+                  const std::optional<std::string>& aText)
   {
     if (!aText) {
       this->gateway.RemoveEndpoint(aId);
@@ -273,17 +273,17 @@
                                       this->settings.exchangeAddress },
                                     { "zone", this->settings.zone },
                                     { "started", this->started } };
-    this->store.PutKeyed(kMembersTopic,
-                         this->settings.host,
-                         fields.dump(),
-                         kAnnounceTimeout,
-                         [](const AppendResult& aResult) {
-                           if (const auto* error =
-                                 std::get_if<LogFault>(&aResult)) {
-                             LogInfo("announcement_failed",
-                                     { { "error", std::string(NameOf(*error)) } });
-                           }
-                         });
+    this->store.PutKeyed(
+      kMembersTopic,
+      this->settings.host,
+      fields.dump(),
+      kAnnounceTimeout,
+      [](const AppendResult& aResult) {
+        if (const auto* error = std::get_if<LogFault>(&aResult)) {
+          LogInfo("announcement_failed",
+                  { { "error", std::string(NameOf(*error)) } });
+        }
+      });
     this->announceTimer.expires_after(kAnnounceEvery);
     this->announceTimer.async_wait([this](const auto& aError) {
       if (!aError) {
--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -39,11 +39,11 @@
   aOut.keyFreshness = MillisOf(aReader, "key_freshness_ms", aOut.keyFreshness);
   aOut.shutdownNotice =
     MillisOf(aReader, "shutdown_notice_ms", aOut.shutdownNotice);
-  const double shutdownSeconds = aReader.Real(
-    "shutdown_limit_s",
-    static_cast<double>(aOut.shutdownLimit.count()) / 1000,
-    0.1,
-    static_cast<double>(kLongestMillis) / 1000);
+  const double shutdownSeconds =
+    aReader.Real("shutdown_limit_s",
+                 static_cast<double>(aOut.shutdownLimit.count()) / 1000,
+                 0.1,
+                 static_cast<double>(kLongestMillis) / 1000);
   aOut.shutdownLimit = Millis(static_cast<int64_t>(shutdownSeconds * 1000));
 }
 
--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -208,8 +208,8 @@
     return Refused{ DispatchRefusal::kNoEndpoint, 0 };
   }
   if (aWork.beginsProgram) {
-    const double limit = this->settings.admitLoad -
-                         this->settings.admitLoadStep * aWork.priority;
+    const double limit =
+      this->settings.admitLoad - this->settings.admitLoadStep * aWork.priority;
     double load = this->ServiceLoad(aWork.service, aNow);
     for (const Held& held : this->waiting) {
       load += held.work.service == aWork.service ? 0.02 : 0;
@@ -269,8 +269,7 @@
       return;
     }
     double& token = this->tokenMillis[aCall.route];
-    sample =
-      MillisOf(aOutcome.streamed) / static_cast<double>(aOutcome.tokens);
+    sample = MillisOf(aOutcome.streamed) / static_cast<double>(aOutcome.tokens);
     token = token == 0 ? sample : token + kAverageWeight * (sample - token);
     mean = token;
   }
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -147,7 +147,7 @@
   double prefillTokensPerMilli = 150;
   // Load of a service at which a new program of priority 0 is refused; each
   // priority below begins to be refused earlier.
-  double admitLoad = 1.0;
+  double admitLoad = 1.15;
   double admitLoadStep = 0.05;
 };
 
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -49,7 +49,8 @@
 }
 
 HostReport
-FromWire(const fleetwire::DatagramT& aDatagram, const fleetwire::LoadReportT& aTable)
+FromWire(const fleetwire::DatagramT& aDatagram,
+         const fleetwire::LoadReportT& aTable)
 {
   HostReport report;
   report.host = aDatagram.host;
@@ -314,8 +315,10 @@
     PeerQuestions& known = this->QuestionsOf(aDatagram);
     const uint64_t number = table.request;
     const auto from = this->sender;
-    const TokenRequest request{ table.program,   table.organisation,
-                                table.continues, table.budget,
+    const TokenRequest request{ table.program,
+                                table.organisation,
+                                table.continues,
+                                table.budget,
                                 table.most };
     if (!Note(known, number, { request, std::nullopt, false })) {
       if (const auto answer = known.byNumber[number].answer) {
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -43,8 +43,7 @@
                       this->ComeBackAfter());
     return false;
   }
-  this->route =
-    this->catalog->FindRoute(this->call.host, this->call.target);
+  this->route = this->catalog->FindRoute(this->call.host, this->call.target);
   if (this->route == nullptr) {
     this->Refuse(RefusalReason::kUnknownRoute, "no route matches");
     return false;
@@ -64,8 +63,7 @@
 CallFlow::CheckKey()
 {
   if (this->route->open || !this->catalog->AsksForKeys()) {
-    this->programKey =
-      this->call.program ? "/" + this->call.program->id : "";
+    this->programKey = this->call.program ? "/" + this->call.program->id : "";
     return true;
   }
   if (this->call.key.empty()) {
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -123,10 +123,10 @@
   }
   this->answer = this->state.parts.dialect.ReadAnswer(aStatus, aHeaders);
   if (this->answer.load) {
-    this->state.dispatcher.EndpointLoad(
-      this->endpointId,
-      this->answer.load->running + this->answer.load->waiting,
-      BootNow());
+    this->state.dispatcher.EndpointLoad(this->endpointId,
+                                        this->answer.load->running +
+                                          this->answer.load->waiting,
+                                        BootNow());
   }
   // An answer to another call, late or doubled, on a kept connection.
   if (!this->answer.callId.empty() && this->answer.callId != this->call.id) {
@@ -212,8 +212,8 @@
 CallFlow::MayTryAgain() const
 {
   return this->attempts < this->route->maxAttempts &&
-         this->tried.size() < kMostUnreachable +
-                                static_cast<size_t>(this->route->maxAttempts) &&
+         this->tried.size() <
+           kMostUnreachable + static_cast<size_t>(this->route->maxAttempts) &&
          BootNow() < this->deadline;
 }
 
@@ -337,18 +337,17 @@
   this->state.parts.metrics.Count("tanagerseam_refusals_total",
                                   { { "reason", std::string(row.name) } });
   const TimePoint now = BootNow();
-  LogInfo(
-    "refused",
-    this->Named(
-      { { "reason", std::string(row.name) },
-        { "detail", aDetail },
-        { "target", this->route == nullptr ? this->call.target : "" },
-        { "retry_after_ms",
-          aRetryAfter ? std::to_string(aRetryAfter->count()) : "" },
-        { "catalog_version",
-          this->catalog ? std::to_string(this->catalog->Version()) : "" },
-        { "catalog_age_ms",
-          std::to_string(this->state.CatalogAge(now).count()) } }));
+  LogInfo("refused",
+          this->Named(
+            { { "reason", std::string(row.name) },
+              { "detail", aDetail },
+              { "target", this->route == nullptr ? this->call.target : "" },
+              { "retry_after_ms",
+                aRetryAfter ? std::to_string(aRetryAfter->count()) : "" },
+              { "catalog_version",
+                this->catalog ? std::to_string(this->catalog->Version()) : "" },
+              { "catalog_age_ms",
+                std::to_string(this->state.CatalogAge(now).count()) } }));
   this->reply->Send(out.status, out.headers, out.body);
   this->End("refused");
 }
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -2,7 +2,8 @@
 //
 // A CallFlow owns the client's reply and at most one exchange with an endpoint.
 // It keeps itself alive by the callbacks it has given out, and ends once: by
-// Refuse, by FinishWhole or by BreakOff. Callbacks that come later find `ended` set.
+// Refuse, by FinishWhole or by BreakOff. Callbacks that come later find `ended`
+// set.
 #ifndef TANAGERSEAM_GATEWAY_CALL_FLOW_H_
 #define TANAGERSEAM_GATEWAY_CALL_FLOW_H_
 
--- a/gateway/call_relay.cc
+++ b/gateway/call_relay.cc
@@ -33,7 +33,8 @@
       return true;
     });
   if (!readable) {
-    LogWarn("event_too_long", this->Named({ { "endpoint", this->endpointId } }));
+    LogWarn("event_too_long",
+            this->Named({ { "endpoint", this->endpointId } }));
   }
   this->reply->Write(std::string(aPiece));
   if (!this->slowed && this->reply->Unwritten() > kMostUnread) {
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -84,8 +84,7 @@
   }
   for (auto& entry : byService) {
     for (const EndpointEntry* endpoint : this->endpoints.Usable(entry.first)) {
-      entry.second.push_back(
-        { endpoint->id, endpoint->zone, endpoint->slots });
+      entry.second.push_back({ endpoint->id, endpoint->zone, endpoint->slots });
     }
     this->dispatcher.SetEndpoints(entry.first, entry.second);
   }
@@ -96,8 +95,7 @@
 {
   for (const Placement& placement : this->dispatcher.Next(BootNow())) {
     auto found = this->calls.find(placement.workId);
-    auto call =
-      found == this->calls.end() ? nullptr : found->second.lock();
+    auto call = found == this->calls.end() ? nullptr : found->second.lock();
     if (call) {
       call->Send(placement);
     } else {
@@ -181,14 +179,11 @@
   void OnReport(const HostReport& aReport)
   {
     const TimePoint now = BootNow();
-    this->state.dispatcher.PeerLoads(
-      aReport.host, aReport.endpointCalls, now);
+    this->state.dispatcher.PeerLoads(aReport.host, aReport.endpointCalls, now);
     QuotaReports uses;
     for (const auto& entry : aReport.organisations) {
       const OrganisationUse& use = entry.second;
-      uses[entry.first] = {
-        use.demand, use.admitted, use.begun, use.promised
-      };
+      uses[entry.first] = { use.demand, use.admitted, use.begun, use.promised };
     }
     this->state.turnBudgets.Heard(aReport.host, !aReport.storeLost, now);
     this->state.quota.PeerReport(aReport.host, aReport.started, uses, now);
@@ -269,10 +264,9 @@
 {
   GatewayState& state = this->impl->state;
   const EndpointEntry* known = state.endpoints.Find(aEndpoint.id);
-  const bool changed = known == nullptr ||
-                       known->draining != aEndpoint.draining ||
-                       known->address != aEndpoint.address ||
-                       known->service != aEndpoint.service;
+  const bool changed =
+    known == nullptr || known->draining != aEndpoint.draining ||
+    known->address != aEndpoint.address || known->service != aEndpoint.service;
   if (changed) {
     LogInfo("endpoint_changed",
             { { "endpoint", aEndpoint.id },
@@ -346,8 +340,9 @@
   auto read = state.parts.dialect.ReadCall(std::move(aRequest));
   if (const auto* refusal = std::get_if<Refusal>(&read)) {
     const HttpAnswer out = state.parts.dialect.WriteRefusal(*refusal, "");
-    LogInfo("refused", { { "reason", std::string(RowOf(refusal->reason).name) },
-                         { "detail", refusal->detail } });
+    LogInfo("refused",
+            { { "reason", std::string(RowOf(refusal->reason).name) },
+              { "detail", refusal->detail } });
     aReply->Send(out.status, out.headers, out.body);
     return;
   }
@@ -361,8 +356,8 @@
 {
   const GatewayState& state = this->impl->state;
   const TimePoint now = BootNow();
-  return !state.draining && state.endpointsKnown &&
-         state.CatalogFresh(now) && !state.StoreAway(now);
+  return !state.draining && state.endpointsKnown && state.CatalogFresh(now) &&
+         !state.StoreAway(now);
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -9,7 +9,8 @@
 //   gateway.Drain();                     // at SIGTERM
 //
 // The steps of a call, each of which may end it with a refusal:
-//   read -> route -> key -> quota -> history -> budget -> place -> send -> relay
+//   read -> route -> key -> quota -> history -> budget -> place -> send ->
+//   relay
 //
 // One loop runs everything; there are no locks. Invariants:
 //  - a call that may not be repeated is sent at most once after which it can
--- a/gateway/turn_budgets.cc
+++ b/gateway/turn_budgets.cc
@@ -71,8 +71,8 @@
     return false;
   }
   // With more members than a report reaches, each is heard less often.
-  const auto rounds = static_cast<int64_t>(
-    1 + this->members.size() / (FleetLink::kFanOut + 1));
+  const auto rounds =
+    static_cast<int64_t>(1 + this->members.size() / (FleetLink::kFanOut + 1));
   auto heard = this->heardAt.find(aHost);
   return heard != this->heardAt.end() &&
          aNow - heard->second <= kHeardWithin * rounds;
@@ -100,8 +100,7 @@
 {
   const std::string home = this->HomeOf(aRequest.program, BootNow());
   if (home == this->ownHost || !this->link.IsPeer(home)) {
-    this->ReserveHere(
-      aRequest, BudgetUse::kAhead, aGiveUpAt, std::move(aDone));
+    this->ReserveHere(aRequest, BudgetUse::kAhead, aGiveUpAt, std::move(aDone));
     return;
   }
   auto number = std::make_shared<uint64_t>(0);
--- a/gateway/turn_budgets.h
+++ b/gateway/turn_budgets.h
@@ -5,9 +5,10 @@
 // highest hash of program and host. The home asks the log for a larger part of
 // the budget and hands it out turn by turn, so that turns that come in anywhere
 // cost a message and not an append. It also knows which turn is the first of
-// its program, and lets new programs in by the organisation's quota. If the home does not answer, this host asks
-// the log itself, for this one turn. Hosts that disagree about the home cost
-// appends and nothing else: what is handed out is always granted by the log.
+// its program, and lets new programs in by the organisation's quota. If the
+// home does not answer, this host asks the log itself, for this one turn. Hosts
+// that disagree about the home cost appends and nothing else: what is handed
+// out is always granted by the log.
 #ifndef TANAGERSEAM_GATEWAY_TURN_BUDGETS_H_
 #define TANAGERSEAM_GATEWAY_TURN_BUDGETS_H_
 
@@ -62,7 +63,9 @@
   // A member told that it lives, and whether it reaches the log.
   void Heard(const std::string& aHost, bool aReachesLog, TimePoint aNow);
   // Answers once; every kReserved is to be settled.
-  void Reserve(const TokenRequest& aRequest, TimePoint aGiveUpAt, Callback aDone);
+  void Reserve(const TokenRequest& aRequest,
+               TimePoint aGiveUpAt,
+               Callback aDone);
   void Settle(const TurnReservation& aReservation, int64_t aUsed);
   // For another host whose programs have their home here.
   void ReserveForPeer(const TokenRequest& aRequest,
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -380,8 +380,9 @@
     outcome.status = exchange->headersTold ? exchange->status : 0;
     outcome.sent = exchange->timesSent > 0;
     if (aCode != CURLE_OK) {
-      outcome.detail = exchange->errorText[0] != '\0' ? exchange->errorText
-                                                      : curl_easy_strerror(aCode);
+      outcome.detail = exchange->errorText[0] != '\0'
+                         ? exchange->errorText
+                         : curl_easy_strerror(aCode);
     }
     this->Recycle(*exchange);
     if (exchange->handlers.onDone) {
@@ -466,10 +467,12 @@
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aExchange.headers);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, call.timeout.count());
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, call.connectTimeout.count());
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
   curl_easy_setopt(
-    easy, CURLOPT_MAXAGE_CONN, static_cast<long>(this->settings.maxIdleSeconds));
+    easy, CURLOPT_CONNECTTIMEOUT_MS, call.connectTimeout.count());
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+  curl_easy_setopt(easy,
+                   CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(this->settings.maxIdleSeconds));
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aExchange.errorText);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &aExchange);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &RefuseSecondSend);
--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -247,13 +247,12 @@
       .write_http_response_timelimit(kWriteTimeout)
       .handle_request_timeout(kHandleTimeout)
       .max_pipelined_requests(kMaxPipelined)
-      .incoming_http_msg_limits(
-        Limits{}
-          .max_url_size(kMaxUrlBytes)
-          .max_field_name_size(kMaxHeaderNameBytes)
-          .max_field_value_size(kMaxHeaderValueBytes)
-          .max_field_count(kMaxHeaderCount)
-          .max_body_size(this->settings.maxBodyBytes))
+      .incoming_http_msg_limits(Limits{}
+                                  .max_url_size(kMaxUrlBytes)
+                                  .max_field_name_size(kMaxHeaderNameBytes)
+                                  .max_field_value_size(kMaxHeaderValueBytes)
+                                  .max_field_count(kMaxHeaderCount)
+                                  .max_body_size(this->settings.maxBodyBytes))
       .acceptor_options_setter([](auto& aOptions) {
         aOptions.set_option(
           restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
@@ -271,8 +270,7 @@
 EventServer::EventServer(restinio::asio_ns::io_context& aIo,
                          EventServerSettings aSettings,
                          EventHandler aHandler)
-  : impl(
-      std::make_unique<Impl>(aIo, std::move(aSettings), std::move(aHandler)))
+  : impl(std::make_unique<Impl>(aIo, std::move(aSettings), std::move(aHandler)))
 {
 }
 
@@ -293,8 +291,7 @@
 EventServer::StopAccepting()
 {
   if (this->impl->server) {
-    this->impl->server->close_async(
-      [] {}, [](const std::exception_ptr&) {});
+    this->impl->server->close_async([] {}, [](const std::exception_ptr&) {});
   }
 }
 
--- a/http/http_message.cc
+++ b/http/http_message.cc
@@ -52,8 +52,8 @@
 std::string
 PercentEncode(const std::string& aText)
 {
-  char* text = curl_easy_escape(
-    nullptr, aText.data(), static_cast<int>(aText.size()));
+  char* text =
+    curl_easy_escape(nullptr, aText.data(), static_cast<int>(aText.size()));
   const std::string encoded = text == nullptr ? "" : text;
   curl_free(text);
   return encoded;
--- a/kernel/log.cc
+++ b/kernel/log.cc
@@ -1,7 +1,7 @@
 #include "kernel/log.h"
 
-#include <log4cplus/initializer.h>
 #include <log4cplus/appender.h>
+#include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -72,9 +72,7 @@
 }
 
 void
-BudgetService::Settle(const std::string& aProgram,
-                      int64_t aMost,
-                      int64_t aUsed)
+BudgetService::Settle(const std::string& aProgram, int64_t aMost, int64_t aUsed)
 {
   auto found = this->programs.find(aProgram);
   if (found == this->programs.end()) {
@@ -115,12 +113,11 @@
   for (const Waiter& waiter : program.waiters) {
     needed += waiter.most;
   }
-  int64_t tokens =
-    std::max(needed - program.available, this->Ahead(program));
+  int64_t tokens = std::max(needed - program.available, this->Ahead(program));
   // What did not fit before won't fit now: ask for just the first turn.
   if (program.refusedTokens > 0 && tokens >= program.refusedTokens) {
-    tokens = std::max<int64_t>(
-      1, program.waiters.front().most - program.available);
+    tokens =
+      std::max<int64_t>(1, program.waiters.front().most - program.available);
   }
   this->Ask(aProgram, tokens, program.waiters.front().giveUpAt);
 }
@@ -138,8 +135,7 @@
   record.holder = this->settings.incarnation;
   record.tokens = aTokens;
   record.budget = program.budget;
-  const LogPartition partition =
-    PartitionOf(this->settings.budgets, aProgram);
+  const LogPartition partition = PartitionOf(this->settings.budgets, aProgram);
   this->log.Append(partition,
                    Encode(record),
                    aGiveUpAt,
@@ -230,12 +226,12 @@
     if (justOne) {
       Waiter waiter = std::move(program.waiters.front());
       program.waiters.pop_front();
-      LogInfo("budget_spent",
-              { { "program", aProgram },
-                { "budget", std::to_string(program.budget) },
-                { "granted",
-                  std::to_string(partition.ledger.Granted(aProgram)) },
-                { "turn_most", std::to_string(waiter.most) } });
+      LogInfo(
+        "budget_spent",
+        { { "program", aProgram },
+          { "budget", std::to_string(program.budget) },
+          { "granted", std::to_string(partition.ledger.Granted(aProgram)) },
+          { "turn_most", std::to_string(waiter.most) } });
       waiter.done(BudgetVerdict::kSpent);
     }
   }
@@ -288,15 +284,15 @@
   record.tokens = aState.available;
   record.budget = aState.budget;
   aState.available = 0;
-  this->log.Append(PartitionOf(this->settings.budgets, aProgram),
-                   Encode(record),
-                   BootNow() + kReturnWithin,
-                   [aProgram](const AppendResult& aResult) {
-                     if (std::holds_alternative<LogFault>(aResult)) {
-                       LogWarn("budget_not_returned",
-                               { { "program", aProgram } });
-                     }
-                   });
+  this->log.Append(
+    PartitionOf(this->settings.budgets, aProgram),
+    Encode(record),
+    BootNow() + kReturnWithin,
+    [aProgram](const AppendResult& aResult) {
+      if (std::holds_alternative<LogFault>(aResult)) {
+        LogWarn("budget_not_returned", { { "program", aProgram } });
+      }
+    });
 }
 
 void
--- a/program/history_service.cc
+++ b/program/history_service.cc
@@ -102,43 +102,43 @@
                      std::function<void(const HistoryResult&)> aDone)
 {
   const LogPartition partition = PartitionOf(this->settings.turns, aTurn);
-  this->log.ReadAll(
-    partition,
-    aFrom,
-    aGiveUpAt,
-    [=, done = std::move(aDone)](const ReadResult& aResult) {
-      const auto* page = std::get_if<ReadRecords>(&aResult);
-      if (page == nullptr) {
-        done(HistoryMiss::kUnknown);
-        return;
-      }
-      std::optional<StoredTurn> wanted;
-      for (const LogRecord& record : page->records) {
-        auto turn = Parse(record.data);
-        if (!turn) {
-          continue;
-        }
-        if (turn->id == aTurn) {
-          wanted = turn;
-        }
-        if (turn->previous.empty()) {
-          this->Remember(turn->id,
-                         turn->organisation,
-                         std::make_shared<const std::string>(turn->text));
-        }
-      }
-      this->readUpTo[partition] = page->end;
-      if (wanted && wanted->organisation == aOrganisation) {
-        this->Resolve(*wanted, aGiveUpAt, done);
-        return;
-      }
-      // The cache may have dropped what was read before.
-      if (!wanted && aFrom > 0) {
-        this->Look(aOrganisation, aTurn, 0, aGiveUpAt, done);
-        return;
-      }
-      done(HistoryMiss::kNoSuchTurn);
-    });
+  this->log.ReadAll(partition,
+                    aFrom,
+                    aGiveUpAt,
+                    [=, done = std::move(aDone)](const ReadResult& aResult) {
+                      const auto* page = std::get_if<ReadRecords>(&aResult);
+                      if (page == nullptr) {
+                        done(HistoryMiss::kUnknown);
+                        return;
+                      }
+                      std::optional<StoredTurn> wanted;
+                      for (const LogRecord& record : page->records) {
+                        auto turn = Parse(record.data);
+                        if (!turn) {
+                          continue;
+                        }
+                        if (turn->id == aTurn) {
+                          wanted = turn;
+                        }
+                        if (turn->previous.empty()) {
+                          this->Remember(
+                            turn->id,
+                            turn->organisation,
+                            std::make_shared<const std::string>(turn->text));
+                        }
+                      }
+                      this->readUpTo[partition] = page->end;
+                      if (wanted && wanted->organisation == aOrganisation) {
+                        this->Resolve(*wanted, aGiveUpAt, done);
+                        return;
+                      }
+                      // The cache may have dropped what was read before.
+                      if (!wanted && aFrom > 0) {
+                        this->Look(aOrganisation, aTurn, 0, aGiveUpAt, done);
+                        return;
+                      }
+                      done(HistoryMiss::kNoSuchTurn);
+                    });
 }
 
 void
@@ -153,21 +153,21 @@
   const std::string id = aTurn.id;
   const std::string organisation = aTurn.organisation;
   const std::string text = aTurn.text;
-  this->Find(
-    organisation,
-    aTurn.previous,
-    aGiveUpAt,
-    [this, id, organisation, text, done = std::move(aDone)](
-      const HistoryResult& aBefore) {
-      const auto* before = std::get_if<Transcript>(&aBefore);
-      if (before == nullptr) {
-        done(aBefore);
-        return;
-      }
-      auto whole = std::make_shared<const std::string>(**before + text);
-      this->Remember(id, organisation, whole);
-      done(whole);
-    });
+  this->Find(organisation,
+             aTurn.previous,
+             aGiveUpAt,
+             [this, id, organisation, text, done = std::move(aDone)](
+               const HistoryResult& aBefore) {
+               const auto* before = std::get_if<Transcript>(&aBefore);
+               if (before == nullptr) {
+                 done(aBefore);
+                 return;
+               }
+               auto whole =
+                 std::make_shared<const std::string>(**before + text);
+               this->Remember(id, organisation, whole);
+               done(whole);
+             });
 }
 
 void
@@ -177,8 +177,8 @@
                      std::function<void(bool)> aDone)
 {
   const std::string own = aTurn.input + aTurn.output;
-  auto whole = std::make_shared<const std::string>(
-    aBefore ? *aBefore + own : own);
+  auto whole =
+    std::make_shared<const std::string>(aBefore ? *aBefore + own : own);
   const bool inlined = !aBefore || whole->size() <= kMaxInlineBytes;
   const std::string& text = inlined ? *whole : own;
   const nlohmann::json fields = {
@@ -190,21 +190,21 @@
         std::vector<std::uint8_t>(text.begin(), text.end())) },
   };
   const auto bytes = nlohmann::json::to_cbor(fields);
-  this->log.Append(
-    PartitionOf(this->settings.turns, aTurn.id),
-    std::string(bytes.begin(), bytes.end()),
-    aGiveUpAt,
-    [this,
-     id = aTurn.id,
-     organisation = aTurn.organisation,
-     whole,
-     done = std::move(aDone)](const AppendResult& aResult) {
-      const bool kept = std::holds_alternative<Appended>(aResult);
-      if (kept) {
-        this->Remember(id, organisation, whole);
-      }
-      done(kept);
-    });
+  this->log.Append(PartitionOf(this->settings.turns, aTurn.id),
+                   std::string(bytes.begin(), bytes.end()),
+                   aGiveUpAt,
+                   [this,
+                    id = aTurn.id,
+                    organisation = aTurn.organisation,
+                    whole,
+                    done = std::move(aDone)](const AppendResult& aResult) {
+                     const bool kept =
+                       std::holds_alternative<Appended>(aResult);
+                     if (kept) {
+                       this->Remember(id, organisation, whole);
+                     }
+                     done(kept);
+                   });
 }
 
 } // namespace tanagerseam
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -12,6 +12,8 @@
 constexpr double kPoolFloor = 0.15;
 // Of the pool, the part that must be left for a program to begin.
 constexpr double kBeginFloor = 0.25;
+// A pool filled above this part is not being used.
+constexpr double kIdlePool = 0.75;
 // Of the burst, the most that a new program must find free in the promises.
 constexpr double kMostPromise = 0.5;
 // Calls of a program before any was seen, and the bounds of the average.
@@ -219,8 +221,7 @@
 FleetQuota::Begin(const std::string& aOrganisation, TimePoint aNow)
 {
   auto found = this->buckets.find(aOrganisation);
-  if (found == this->buckets.end() ||
-      found->second.cap.ratePerSecond <= 0) {
+  if (found == this->buckets.end() || found->second.cap.ratePerSecond <= 0) {
     return true;
   }
   Bucket& bucket = found->second;
@@ -228,10 +229,13 @@
   const double burst = bucket.cap.burst * this->Reachable(aNow);
   const double calls = CallsPerProgram(bucket);
   const double needed = std::min(calls, burst * kMostPromise);
-  if (bucket.promises < needed || bucket.pool < burst * kBeginFloor) {
+  // A pool that stays full shows that programs need less than was promised.
+  const bool idle = bucket.pool >= burst * kIdlePool;
+  const bool promised = bucket.promises >= needed;
+  if (bucket.pool < burst * kBeginFloor || (!promised && !idle)) {
     return false;
   }
-  bucket.promises -= calls;
+  bucket.promises = std::max(bucket.promises - calls, -burst);
   bucket.promised += calls;
   ++bucket.begun;
   Count(bucket, 0, 1);
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -4,9 +4,9 @@
 //   FleetQuota quota("host-1", started);
 //   quota.SetMembers({ "host-1", "host-2" });
 //   quota.SetCap("ski-club", { 155, 155 }, false, now);
-//   quota.PeerReport("host-2", started2, { { "ski-club", { 40, 1200 } } }, now);
-//   if (!quota.Begin("ski-club", now)) { ... refuse the program ... }
-//   if (!quota.Admit("ski-club", now)) { ... refuse the call ... }
+//   quota.PeerReport("host-2", started2, { { "ski-club", { 40, 1200 } } },
+//   now); if (!quota.Begin("ski-club", now)) { ... refuse the program ... } if
+//   (!quota.Admit("ski-club", now)) { ... refuse the call ... }
 //
 // Hosts tell each other how many calls of each organisation they have admitted
 // since they started, and how many were asked of them. From that each host
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -117,41 +117,41 @@
     asio::post(this->io, std::move(aNext));
     return;
   }
-  const Millis pause =
-    std::min(kLongestPause, kFirstPause * (1 << std::min(aTries, kMaxDoublings)));
+  const Millis pause = std::min(
+    kLongestPause, kFirstPause * (1 << std::min(aTries, kMaxDoublings)));
   auto timer = std::make_shared<asio::steady_timer>(this->io, pause);
-  timer->async_wait(
-    [timer, next = std::move(aNext)](const auto& aWaitError) {
-      if (!aWaitError) {
-        next();
-      }
-    });
+  timer->async_wait([timer, next = std::move(aNext)](const auto& aWaitError) {
+    if (!aWaitError) {
+      next();
+    }
+  });
 }
 
 void
 PersistentLog::TryAppend(const std::shared_ptr<AppendTask>& aTask)
 {
   const TimePoint askedAt = BootNow();
-  this->log.Append(
-    aTask->partition,
-    aTask->record,
-    this->Timeout(aTask->tries, aTask->giveUpAt, askedAt),
-    [this, aTask, askedAt](const AppendResult& aResult) {
-      const LogFault* error = std::get_if<LogFault>(&aResult);
-      if (error == nullptr) {
-        this->Answered(askedAt);
-        aTask->done(aResult);
-        return;
-      }
-      this->Failed();
-      ++aTask->tries;
-      if (*error == LogFault::kRejected || BootNow() >= aTask->giveUpAt) {
-        aTask->done(aResult);
-        return;
-      }
-      this->Again(
-        aTask->tries, *error, [this, aTask] { this->TryAppend(aTask); });
-    });
+  this->log.Append(aTask->partition,
+                   aTask->record,
+                   this->Timeout(aTask->tries, aTask->giveUpAt, askedAt),
+                   [this, aTask, askedAt](const AppendResult& aResult) {
+                     const LogFault* error = std::get_if<LogFault>(&aResult);
+                     if (error == nullptr) {
+                       this->Answered(askedAt);
+                       aTask->done(aResult);
+                       return;
+                     }
+                     this->Failed();
+                     ++aTask->tries;
+                     if (*error == LogFault::kRejected ||
+                         BootNow() >= aTask->giveUpAt) {
+                       aTask->done(aResult);
+                       return;
+                     }
+                     this->Again(aTask->tries, *error, [this, aTask] {
+                       this->TryAppend(aTask);
+                     });
+                   });
 }
 
 void
