--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -101,7 +101,7 @@
     , path(std::move(aPath))
     , started(static_cast<uint64_t>(WallMillis()))
     , client(io, EventClientSettings{})
-    , store(client, settings.storeAddress, metrics)
+    , store(io, client, settings.storeAddress, metrics)
     , link(io, LinkSettingsOf(settings, started))
     , gateway(SettingsOf(settings, started),
               GatewayParts{ io, client, dialect, store, link, metrics })
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -58,7 +58,7 @@
   // Calls under way, by endpoint.
   std::unordered_map<std::string, int> endpointCalls;
   std::unordered_map<std::string, OrganisationUse> organisations;
-  // The host can't reach the platform's store.
+  // The host can't reach the platform's store, or is about to stop.
   bool storeLost = false;
 };
 
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -149,6 +149,14 @@
 {
   const bool counted = this->route->kind == CallKind::kStream &&
                        this->call.program && this->call.program->tokenBudget;
+  // A turn that is kept can't end without the log: better not begun.
+  const bool needsLog = counted || this->route->keepsHistory;
+  if (needsLog && this->state.persistentLog.Away(BootNow())) {
+    this->RefuseUntil(RefusalReason::kLogUnavailable,
+                      "the log of turns and budgets is away",
+                      this->ComeBackAfter());
+    return;
+  }
   if (!counted) {
     if (this->TakeQuota()) {
       this->Place();
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -137,7 +137,8 @@
     const TimePoint now = BootNow();
     this->state.budgets.Tick(now);
     HostReport told;
-    told.storeLost = this->state.StoreAway(now);
+    told.storeLost = this->state.StoreAway(now) || this->state.draining ||
+                     this->state.persistentLog.Away(now);
     told.host = this->state.settings.host;
     told.started = this->state.settings.started;
     told.endpointCalls = this->state.dispatcher.OwnLoads();
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -15,7 +15,7 @@
 constexpr double kAverageWeight = 0.1;
 constexpr Millis kFirstPause(25);
 constexpr Millis kLongestPause(400);
-constexpr Millis kAwayAfter(500);
+constexpr Millis kAwayAfter(400);
 constexpr int kMaxDoublings = 5;
 
 } // namespace
