--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -16,7 +16,9 @@
 //
 // EndpointTable outlives outages of the registry. An entry that is removed
 // while the registry is away, or within `returnGrace` of its return, stays
-// usable until that grace has passed: live endpoints are back by then.
+// usable until that grace has passed: live endpoints are back by then. The
+// registry counts as away when it does not answer, and also when of several
+// endpoints none has refreshed its entry for kSilence: then they can't write.
 #ifndef TANAGERSEAM_CATALOG_CATALOG_H_
 #define TANAGERSEAM_CATALOG_CATALOG_H_
 
@@ -179,7 +181,12 @@
   {
   }
 
-  void Put(EndpointEntry aEndpoint);
+  // Endpoints refresh their entries more often than this all together.
+  static constexpr Millis kSilence{ 1800 };
+  // With fewer entries silence says nothing.
+  static constexpr size_t kLeastForSilence = 3;
+
+  void Put(EndpointEntry aEndpoint, TimePoint aNow);
   void Remove(const std::string& aId, TimePoint aNow);
   // The registry did not answer, or answers again.
   void RegistryLost(TimePoint aNow);
@@ -189,6 +196,8 @@
   // The endpoints of a service that take new calls.
   std::vector<const EndpointEntry*> Usable(const std::string& aService) const;
   const EndpointEntry* Find(const std::string& aId) const;
+  // No endpoint has refreshed its entry for some time.
+  bool Silent(TimePoint aNow) const;
   size_t Size() const { return this->entries.size(); }
 
 private:
@@ -201,6 +210,8 @@
 
   Millis returnGrace;
   std::map<std::string, Entry> entries;
+  // The newest refresh of any entry.
+  TimePoint refreshedAt{};
   bool lost = false;
   // No removal is believed before.
   TimePoint trustRemovalsFrom{};
--- a/catalog/endpoint_table.cc
+++ b/catalog/endpoint_table.cc
@@ -3,13 +3,24 @@
 namespace tanagerseam {
 
 void
-EndpointTable::Put(EndpointEntry aEndpoint)
+EndpointTable::Put(EndpointEntry aEndpoint, TimePoint aNow)
 {
+  if (this->Silent(aNow)) {
+    this->trustRemovalsFrom = aNow + this->returnGrace;
+  }
+  this->refreshedAt = aNow;
   Entry& entry = this->entries[aEndpoint.id];
   entry.endpoint = std::move(aEndpoint);
   entry.removed = false;
 }
 
+bool
+EndpointTable::Silent(TimePoint aNow) const
+{
+  return this->entries.size() >= kLeastForSilence &&
+         aNow - this->refreshedAt > kSilence;
+}
+
 void
 EndpointTable::Remove(const std::string& aId, TimePoint aNow)
 {
@@ -17,7 +28,7 @@
   if (found == this->entries.end()) {
     return;
   }
-  if (this->lost || aNow < this->trustRemovalsFrom) {
+  if (this->lost || this->Silent(aNow) || aNow < this->trustRemovalsFrom) {
     found->second.removed = true;
     return;
   }
@@ -44,7 +55,7 @@
 EndpointTable::Expire(TimePoint aNow)
 {
   std::vector<std::string> expired;
-  if (this->lost || aNow < this->trustRemovalsFrom) {
+  if (this->lost || this->Silent(aNow) || aNow < this->trustRemovalsFrom) {
     return expired;
   }
   for (auto it = this->entries.begin(); it != this->entries.end();) {
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -94,10 +94,10 @@
 
 TEST_F(EndpointTableStory, EndpointsComeDrainAndLeave)
 {
-  this->table.Put(Entry("i-1"));
-  this->table.Put(Entry("i-2"));
+  this->table.Put(Entry("i-1"), At(0));
+  this->table.Put(Entry("i-2"), At(0));
   EXPECT_EQ(this->Usable(), 2u);
-  this->table.Put(Entry("i-1", true));
+  this->table.Put(Entry("i-1", true), At(0));
   EXPECT_EQ(this->Usable(), 1u);
   this->table.Remove("i-2", At(0));
   EXPECT_EQ(this->Usable(), 0u);
@@ -105,8 +105,8 @@
 
 TEST_F(EndpointTableStory, WhatLapsesWhileTheRegistryIsAwayStaysUsable)
 {
-  this->table.Put(Entry("i-1"));
-  this->table.Put(Entry("i-2"));
+  this->table.Put(Entry("i-1"), At(0));
+  this->table.Put(Entry("i-2"), At(0));
   this->table.RegistryLost(At(0));
   this->table.Remove("i-1", At(10));
   this->table.Remove("i-2", At(10));
@@ -114,7 +114,7 @@
   this->table.RegistryBack(At(5000));
   {
     SCOPED_TRACE("a live one registers again soon after the return");
-    this->table.Put(Entry("i-1"));
+    this->table.Put(Entry("i-1"), At(6000));
     EXPECT_TRUE(this->table.Expire(At(7000)).empty());
     EXPECT_EQ(this->Usable(), 2u);
   }
@@ -130,5 +130,37 @@
   }
 }
 
+TEST_F(EndpointTableStory, EntriesThatNobodyCanRefreshStayUsable)
+{
+  for (const char* id : { "i-1", "i-2", "i-3" }) {
+    this->table.Put(Entry(id), At(0));
+  }
+  {
+    SCOPED_TRACE("while others refresh theirs, a removal is believed");
+    this->table.Put(Entry("i-1"), At(1500));
+    this->table.Put(Entry("i-1"), At(3000));
+    this->table.Put(Entry("i-1"), At(4500));
+    this->table.Remove("i-3", At(4600));
+    EXPECT_EQ(this->Usable(), 2u);
+  }
+  this->table.Put(Entry("i-3"), At(5500));
+  {
+    SCOPED_TRACE("when none can, all lapse and none is believed");
+    this->table.Remove("i-1", At(9000));
+    this->table.Remove("i-2", At(9000));
+    this->table.Remove("i-3", At(9000));
+    EXPECT_EQ(this->Usable(), 3u);
+    EXPECT_TRUE(this->table.Expire(At(12000)).empty());
+  }
+  {
+    SCOPED_TRACE("once one writes again, the others have the grace to do so");
+    this->table.Put(Entry("i-2"), At(12000));
+    EXPECT_TRUE(this->table.Expire(At(13000)).empty());
+    this->table.Put(Entry("i-2"), At(13500));
+    EXPECT_EQ(this->table.Expire(At(14300)).size(), 2u);
+    EXPECT_EQ(this->Usable(), 1u);
+  }
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -9,6 +9,8 @@
 
 // Without X-Deadline-Ms and a shorter limit of the route.
 constexpr Millis kLongestCall(600000);
+// For the log, before a call is placed.
+constexpr Millis kLongestLogWait(600);
 
 } // namespace
 
@@ -112,6 +114,14 @@
   return false;
 }
 
+// A call that the log keeps from beginning is refused while there is time left
+// to come back.
+TimePoint
+CallFlow::LogDeadline() const
+{
+  return std::min(this->deadline, this->arrivedAt + kLongestLogWait);
+}
+
 void
 CallFlow::LoadHistory()
 {
@@ -125,7 +135,7 @@
   this->state.history.Find(
     name,
     this->call.program->previousTurn,
-    this->deadline,
+    this->LogDeadline(),
     [self = this->shared_from_this()](const HistoryResult& aFound) {
       if (self->ended) {
         return;
@@ -173,7 +183,7 @@
   request.most = most;
   this->state.turnBudgets.Reserve(
     request,
-    this->deadline,
+    this->LogDeadline(),
     [self = this->shared_from_this()](TurnVerdict aVerdict,
                                       const TurnReservation& aReservation) {
       self->OnTokens(aVerdict, aReservation);
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -36,6 +36,7 @@
   bool CheckKey();
   bool TakeQuota();
   void RefuseForQuota();
+  TimePoint LogDeadline() const;
   void LoadHistory();
   void ReserveTokens();
   void OnTokens(TurnVerdict aVerdict, const TurnReservation& aReservation);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -275,7 +275,7 @@
               { "address", aEndpoint.address },
               { "draining", aEndpoint.draining ? "true" : "false" } });
   }
-  state.endpoints.Put(std::move(aEndpoint));
+  state.endpoints.Put(std::move(aEndpoint), BootNow());
   if (changed) {
     state.UpdateDispatcher();
   }
--- a/program/budget_ledger.cc
+++ b/program/budget_ledger.cc
@@ -16,6 +16,14 @@
   return partition;
 }
 
+std::vector<LogPartition>
+PartitionsOf(const PartitionSpread& aSpread, const std::string& aKey)
+{
+  return { PartitionOf(aSpread, aKey),
+           PartitionOf(aSpread, aKey + "#1"),
+           PartitionOf(aSpread, aKey + "#2") };
+}
+
 std::string
 Encode(const BudgetRecord& aRecord)
 {
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -136,7 +136,7 @@
   record.tokens = aTokens;
   record.budget = program.budget;
   const LogPartition partition = PartitionOf(this->settings.budgets, aProgram);
-  this->log.Append(partition,
+  this->log.Append({ partition },
                    Encode(record),
                    aGiveUpAt,
                    [this, aProgram, record, aGiveUpAt](const auto& aResult) {
@@ -285,7 +285,7 @@
   record.budget = aState.budget;
   aState.available = 0;
   this->log.Append(
-    PartitionOf(this->settings.budgets, aProgram),
+    { PartitionOf(this->settings.budgets, aProgram) },
     Encode(record),
     BootNow() + kReturnWithin,
     [aProgram](const AppendResult& aResult) {
--- a/program/history_service.cc
+++ b/program/history_service.cc
@@ -88,57 +88,49 @@
     aDone(Transcript(entry.transcript));
     return;
   }
-  const auto read =
-    this->readUpTo.find(PartitionOf(this->settings.turns, aTurn));
-  const int64_t from = read == this->readUpTo.end() ? 0 : read->second;
-  this->Look(aOrganisation, aTurn, from, aGiveUpAt, std::move(aDone));
+  this->Look(aOrganisation, aTurn, 0, aGiveUpAt, std::move(aDone));
 }
 
 void
 HistoryService::Look(const std::string& aOrganisation,
                      const std::string& aTurn,
-                     int64_t aFrom,
+                     size_t aTry,
                      TimePoint aGiveUpAt,
                      std::function<void(const HistoryResult&)> aDone)
 {
-  const LogPartition partition = PartitionOf(this->settings.turns, aTurn);
-  this->log.ReadAll(partition,
-                    aFrom,
-                    aGiveUpAt,
-                    [=, done = std::move(aDone)](const ReadResult& aResult) {
-                      const auto* page = std::get_if<ReadRecords>(&aResult);
-                      if (page == nullptr) {
-                        done(HistoryMiss::kUnknown);
-                        return;
-                      }
-                      std::optional<StoredTurn> wanted;
-                      for (const LogRecord& record : page->records) {
-                        auto turn = Parse(record.data);
-                        if (!turn) {
-                          continue;
-                        }
-                        if (turn->id == aTurn) {
-                          wanted = turn;
-                        }
-                        if (turn->previous.empty()) {
-                          this->Remember(
-                            turn->id,
-                            turn->organisation,
-                            std::make_shared<const std::string>(turn->text));
-                        }
-                      }
-                      this->readUpTo[partition] = page->end;
-                      if (wanted && wanted->organisation == aOrganisation) {
-                        this->Resolve(*wanted, aGiveUpAt, done);
-                        return;
-                      }
-                      // The cache may have dropped what was read before.
-                      if (!wanted && aFrom > 0) {
-                        this->Look(aOrganisation, aTurn, 0, aGiveUpAt, done);
-                        return;
-                      }
-                      done(HistoryMiss::kNoSuchTurn);
-                    });
+  const auto partitions = PartitionsOf(this->settings.turns, aTurn);
+  this->log.ReadAll(
+    partitions[aTry],
+    0,
+    aGiveUpAt,
+    [=, done = std::move(aDone)](const ReadResult& aResult) {
+      const auto* page = std::get_if<ReadRecords>(&aResult);
+      if (page == nullptr) {
+        done(HistoryMiss::kUnknown);
+        return;
+      }
+      std::optional<StoredTurn> wanted;
+      for (const LogRecord& record : page->records) {
+        auto turn = Parse(record.data);
+        if (turn && turn->id == aTurn) {
+          wanted = std::move(turn);
+        }
+      }
+      if (!wanted && aTry + 1 < partitions.size()) {
+        this->Look(aOrganisation, aTurn, aTry + 1, aGiveUpAt, done);
+        return;
+      }
+      if (!wanted || wanted->organisation != aOrganisation) {
+        done(HistoryMiss::kNoSuchTurn);
+        return;
+      }
+      if (wanted->previous.empty()) {
+        this->Remember(wanted->id,
+                       wanted->organisation,
+                       std::make_shared<const std::string>(wanted->text));
+      }
+      this->Resolve(*wanted, aGiveUpAt, done);
+    });
 }
 
 void
@@ -190,7 +182,7 @@
         std::vector<std::uint8_t>(text.begin(), text.end())) },
   };
   const auto bytes = nlohmann::json::to_cbor(fields);
-  this->log.Append(PartitionOf(this->settings.turns, aTurn.id),
+  this->log.Append(PartitionsOf(this->settings.turns, aTurn.id),
                    std::string(bytes.begin(), bytes.end()),
                    aGiveUpAt,
                    [this,
--- a/program/program.h
+++ b/program/program.h
@@ -24,8 +24,9 @@
 // Invariant: tokens handed out by all hosts <= tokens of grants that hold, less
 // what was given back, <= budget. A host that dies takes its unused part along.
 //
-// History. A turn is a record in the partition of its own id, with the text of
-// all turns before it while that is short, else with the id of the turn before.
+// History. A turn is a record in the partition of its own id, or in one of two
+// others if that can't be written, with the text of all turns before it while
+// that is short, else with the id of the turn before.
 // Invariant: a turn whose Keep succeeded is found by every later Find.
 //
 // Cost: a grant is one append, and a read if others wrote to the partition
@@ -57,6 +58,10 @@
 LogPartition
 PartitionOf(const PartitionSpread& aSpread, const std::string& aKey);
 
+// The partition of aKey, and others in case that it can't be written.
+std::vector<LogPartition>
+PartitionsOf(const PartitionSpread& aSpread, const std::string& aKey);
+
 // ---- budgets
 
 enum class BudgetRecordKind
@@ -265,9 +270,10 @@
   };
   struct StoredTurn;
 
+  // Looks into the aTry-th partition of the turn, and into the next ones.
   void Look(const std::string& aOrganisation,
             const std::string& aTurn,
-            int64_t aFrom,
+            size_t aTry,
             TimePoint aGiveUpAt,
             std::function<void(const HistoryResult&)> aDone);
   void Resolve(const StoredTurn& aTurn,
@@ -284,8 +290,6 @@
   std::list<Cached> cache;
   std::unordered_map<std::string, std::list<Cached>::iterator> index;
   size_t cachedBytes = 0;
-  // Offsets up to which partitions were read into the cache.
-  std::map<LogPartition, int64_t> readUpTo;
 };
 
 } // namespace tanagerseam
--- a/program/testing/history_test.cc
+++ b/program/testing/history_test.cc
@@ -142,5 +142,18 @@
   EXPECT_EQ(this->Find(host, "t1"), input + "answer to " + input + "\n");
 }
 
+TEST_F(HistoryStory, APartitionThatIsDownStopsNoTurn)
+{
+  const auto partitions = PartitionsOf(Settings().turns, "t1");
+  this->log.downPartitions = { partitions[0] };
+  EXPECT_TRUE(this->Keep(this->one, "t1", "", "a", nullptr));
+  {
+    SCOPED_TRACE("nobody claims that the turn is not there");
+    EXPECT_EQ(this->Find(this->two, "t1"), "unknown");
+  }
+  this->log.downPartitions.clear();
+  EXPECT_EQ(this->Find(this->two, "t1"), "aanswer to a\n");
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/program/testing/memory_log.h
+++ b/program/testing/memory_log.h
@@ -28,7 +28,7 @@
               std::function<void(const AppendResult&)> aDone) override
   {
     ++this->appends;
-    if (this->down) {
+    if (this->down || this->IsDown(aPartition)) {
       this->Later([aDone] { aDone(LogFault::kUnavailable); });
       return;
     }
@@ -49,7 +49,7 @@
             std::function<void(const ReadResult&)> aDone) override
   {
     ++this->reads;
-    if (this->down) {
+    if (this->down || this->IsDown(aPartition)) {
       this->Later([aDone] { aDone(LogFault::kUnavailable); });
       return;
     }
@@ -65,10 +65,22 @@
   int appends = 0;
   int reads = 0;
   bool down = false;
+  // Partitions that do nothing.
+  std::vector<LogPartition> downPartitions;
   // Appends that take effect and are not answered.
   int lostAnswers = 0;
 
 private:
+  bool IsDown(const LogPartition& aPartition) const
+  {
+    for (const LogPartition& down : this->downPartitions) {
+      if (!(down < aPartition) && !(aPartition < down)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void Later(std::function<void()> aTask)
   {
     restinio::asio_ns::post(this->io, std::move(aTask));
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -22,7 +22,7 @@
 
 struct PersistentLog::AppendTask
 {
-  LogPartition partition;
+  std::vector<LogPartition> partitions;
   std::string record;
   TimePoint giveUpAt;
   std::function<void(const AppendResult&)> done;
@@ -48,13 +48,13 @@
 }
 
 void
-PersistentLog::Append(const LogPartition& aPartition,
+PersistentLog::Append(std::vector<LogPartition> aPartitions,
                       std::string aRecord,
                       TimePoint aGiveUpAt,
                       std::function<void(const AppendResult&)> aDone)
 {
   auto task = std::make_shared<AppendTask>();
-  task->partition = aPartition;
+  task->partitions = std::move(aPartitions);
   task->record = std::move(aRecord);
   task->giveUpAt = aGiveUpAt;
   task->done = std::move(aDone);
@@ -131,7 +131,9 @@
 PersistentLog::TryAppend(const std::shared_ptr<AppendTask>& aTask)
 {
   const TimePoint askedAt = BootNow();
-  this->log.Append(aTask->partition,
+  const size_t count = aTask->partitions.size();
+  const size_t next = static_cast<size_t>(aTask->tries) % count;
+  this->log.Append(aTask->partitions[next],
                    aTask->record,
                    this->Timeout(aTask->tries, aTask->giveUpAt, askedAt),
                    [this, aTask, askedAt](const AppendResult& aResult) {
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -19,8 +19,10 @@
 public:
   PersistentLog(restinio::asio_ns::io_context& aIo, RecordLog& aLog);
 
-  // aDone gets the last error if aGiveUpAt (BootNow's clock) passes first.
-  void Append(const LogPartition& aPartition,
+  // aDone gets the last error if aGiveUpAt (BootNow's clock) passes first. With
+  // several partitions the record goes to the first that takes it, or to more
+  // than one if answers are lost.
+  void Append(std::vector<LogPartition> aPartitions,
               std::string aRecord,
               TimePoint aGiveUpAt,
               std::function<void(const AppendResult&)> aDone);
