--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -15,7 +15,6 @@
 constexpr double kAverageWeight = 0.1;
 constexpr Millis kFirstPause(25);
 constexpr Millis kLongestPause(400);
-constexpr Millis kAwayAfter(400);
 constexpr int kMaxDoublings = 5;
 
 } // namespace
@@ -79,7 +78,8 @@
 PersistentLog::Away(TimePoint aNow) const
 {
   return this->failingSince != TimePoint{} &&
-         aNow - this->failingSince >= kAwayAfter;
+         aNow - this->failingSince >= kAwayAfter &&
+         aNow - this->lastFailedAt < kLookAgainAfter;
 }
 
 Millis
@@ -105,8 +105,9 @@
 void
 PersistentLog::Failed()
 {
+  this->lastFailedAt = BootNow();
   if (this->failingSince == TimePoint{}) {
-    this->failingSince = BootNow();
+    this->failingSince = this->lastFailedAt;
   }
 }
 
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -31,7 +31,12 @@
                int64_t aFrom,
                TimePoint aGiveUpAt,
                std::function<void(const ReadResult&)> aDone);
-  // True while the last calls have failed for kAwayAfter or more.
+  static constexpr Millis kAwayAfter{ 400 };
+  static constexpr Millis kLookAgainAfter{ 400 };
+
+  // True while the last calls have failed for kAwayAfter or more. Callers that
+  // don't ask a log that is away would never learn of its return; so it counts
+  // as back, for one look, kLookAgainAfter after the last failure.
   bool Away(TimePoint aNow) const;
 
 private:
@@ -50,6 +55,7 @@
   // Average time of an answer.
   double answerMillis = 10;
   TimePoint failingSince{};
+  TimePoint lastFailedAt{};
 };
 
 } // namespace tanagerseam
