--- a/cli/command_line.cc
+++ b/cli/command_line.cc
@@ -9,6 +9,7 @@
 #include "cli/explain_command.h"
 #include "cli/fleet_commands.h"
 #include "cli/key_commands.h"
+#include "cli/trace_command.h"
 
 namespace tanagerseam {
 
@@ -103,6 +104,12 @@
       [](const Context& aContext, const Words& aWords) {
         return RunExplain(aContext, aWords[0]);
       } },
+    { { "trace" },
+      "ID FILE...",
+      "the story of a request or program from hosts' logs; - is standard input",
+      2,
+      kAnyNumber,
+      RunTrace },
   };
   return kCommands;
 }
--- a/cli/testing/cli_test.cc
+++ b/cli/testing/cli_test.cc
@@ -251,6 +251,50 @@
   EXPECT_EQ(RunWith(options, { "apply", Path() }), ExitCode::kOk);
 }
 
+TEST_F(OperatorStory, ARequestsStoryIsToldFromManyLogs)
+{
+  const std::string one = testing::TempDir() + "/trace_one.log";
+  const std::string two = testing::TempDir() + "/trace_two.log";
+  std::ofstream(one)
+    << R"({"ts":900,"host":"h1","event":"catalog_applied","version":"7"})"
+    << "\n"
+    << R"({"ts":1000,"host":"h1","event":"placed","request":"r1","program":"p"})"
+    << "\n"
+    << R"(prefix {"ts":1003,"host":"h1","event":"broken","request":"r1",)"
+    << R"("error":"stale_connection"})"
+    << "\n{cut\n"
+    << R"({"ts":1001,"host":"h1","event":"placed","request":"r2","program":"q"})"
+    << "\n";
+  std::ofstream(two)
+    << R"({"ts":1002,"host":"h2","event":"budget_spent","program":"club/p"})"
+    << "\n"
+    << R"({"ts":950,"host":"h3","event":"dependency_lost","dependency":"x"})"
+    << "\n";
+  {
+    SCOPED_TRACE("a request, with what its host believed before");
+    EXPECT_EQ(this->RunAs("ana", { "trace", "r1", one, two }), ExitCode::kOk);
+    EXPECT_EQ(this->out.str(),
+              "-100 ms  h1  catalog_applied  version=7\n"
+              "+0 ms  h1  placed  program=p  request=r1\n"
+              "+3 ms  h1  broken  error=stale_connection  request=r1\n"
+              "1 lines could not be read\n");
+  }
+  {
+    SCOPED_TRACE("a program, over the hosts that had a part in it");
+    EXPECT_EQ(this->RunAs("ana", { "trace", "p", one, two }), ExitCode::kOk);
+    EXPECT_NE(this->out.str().find("+2 ms  h2  budget_spent"),
+              std::string::npos);
+    EXPECT_EQ(this->out.str().find("r2"), std::string::npos);
+    EXPECT_EQ(this->out.str().find("h3"), std::string::npos);
+  }
+  {
+    SCOPED_TRACE("what is not there is said so");
+    EXPECT_EQ(this->RunAs("ana", { "trace", "r9", one }), ExitCode::kNotFound);
+    EXPECT_EQ(this->RunAs("ana", { "trace", "r1", one + ".none" }),
+              ExitCode::kNotFound);
+  }
+}
+
 TEST_F(OperatorStory, StatusProgramsAndDrainSpeakToDaemons)
 {
   Join("h1");
