--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -87,8 +87,6 @@
 struct ServiceEntry
 {
   std::string name;
-  // Connections that one endpoint accepts from all hosts together.
-  int maxConnections = 100;
   // Tokens in one event of a stream; 0 for plain services.
   int tokensPerEvent = 0;
 };
@@ -168,8 +166,6 @@
   // Calls that it runs at once.
   int slots = 1;
   bool draining = false;
-  // Until then it is slow after its start.
-  TimePoint warmFrom{};
 };
 
 class EndpointTable
@@ -189,7 +185,7 @@
   void Put(EndpointEntry aEndpoint, TimePoint aNow);
   void Remove(const std::string& aId, TimePoint aNow);
   // The registry did not answer, or answers again.
-  void RegistryLost(TimePoint aNow);
+  void RegistryLost();
   void RegistryBack(TimePoint aNow);
   // Drops what was removed and whose grace has passed; their ids.
   std::vector<std::string> Expire(TimePoint aNow);
--- a/catalog/endpoint_table.cc
+++ b/catalog/endpoint_table.cc
@@ -36,7 +36,7 @@
 }
 
 void
-EndpointTable::RegistryLost(TimePoint)
+EndpointTable::RegistryLost()
 {
   this->lost = true;
 }
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -107,7 +107,7 @@
 {
   this->table.Put(Entry("i-1"), At(0));
   this->table.Put(Entry("i-2"), At(0));
-  this->table.RegistryLost(At(0));
+  this->table.RegistryLost();
   this->table.Remove("i-1", At(10));
   this->table.Remove("i-2", At(10));
   EXPECT_EQ(this->Usable(), 2u);
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -198,7 +198,7 @@
       this->gateway.RemoveEndpoint(aId);
       return;
     }
-    auto entry = ReadServerEntry(aId, *aText, BootNow());
+    auto entry = ReadServerEntry(aId, *aText);
     if (!entry) {
       this->gateway.RemoveEndpoint(aId);
       return;
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -272,7 +272,7 @@
   }
   this->reply->Send(
     this->answer.status, this->answer.headers, std::move(this->wholeBody));
-  this->FinishWhole("answered");
+  this->End("answered");
 }
 
 void
@@ -362,12 +362,6 @@
   this->End(aWhy);
 }
 
-void
-CallFlow::FinishWhole(const char* aHow)
-{
-  this->End(aHow);
-}
-
 void
 CallFlow::End(const char* aHow)
 {
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -2,8 +2,8 @@
 //
 // A CallFlow owns the client's reply and at most one exchange with an endpoint.
 // It keeps itself alive by the callbacks it has given out, and ends once: by
-// Refuse, by FinishWhole or by BreakOff. Callbacks that come later find `ended`
-// set.
+// Refuse, by BreakOff or with its whole answer. Callbacks that come later find
+// `ended` set.
 #ifndef TANAGERSEAM_GATEWAY_CALL_FLOW_H_
 #define TANAGERSEAM_GATEWAY_CALL_FLOW_H_
 
@@ -71,7 +71,6 @@
                    const std::string& aDetail,
                    std::optional<Millis> aRetryAfter);
   void BreakOff(const char* aWhy);
-  void FinishWhole(const char* aHow);
   void End(const char* aHow);
   // When a client that is refused for load should come back.
   Millis ComeBackAfter();
--- a/gateway/call_relay.cc
+++ b/gateway/call_relay.cc
@@ -86,7 +86,7 @@
 CallFlow::FinishStream()
 {
   this->reply->End();
-  this->FinishWhole("answered");
+  this->End("answered");
 }
 
 } // namespace tanagerseam
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -307,7 +307,7 @@
 void
 Gateway::EndpointsLost()
 {
-  this->impl->state.endpoints.RegistryLost(BootNow());
+  this->impl->state.endpoints.RegistryLost();
 }
 
 void
--- a/gateway/testing/gateway_test.cc
+++ b/gateway/testing/gateway_test.cc
@@ -13,9 +13,11 @@
 namespace {
 
 using testing_support::FreePort;
+using testing_support::IsWhole;
 using testing_support::RawAction;
 using testing_support::RawClient;
 using testing_support::RawEndpoint;
+using testing_support::StatusOf;
 
 RouteEntry
 RouteOf(const std::string& aPrefix, CallKind aKind, int aAttempts)
@@ -74,7 +76,7 @@
                        RouteOf("/charge/", CallKind::kNonIdempotent, 3),
                        RouteOf("/look/", CallKind::kIdempotent, 2) };
     content.routes[0].keepsHistory = true;
-    content.services = { { "engines", 100, 10 }, { "tools", 100, 0 } };
+    content.services = { { "engines", 10 }, { "tools", 0 } };
     content.organisations = { { "club", { aKey }, {}, 1000, 1000 } };
     this->gateway.SetCatalog(std::make_shared<const Catalog>(content));
     this->gateway.CatalogConfirmed(BootNow());
@@ -193,25 +195,6 @@
     return client.Received();
   }
 
-  static bool IsWhole(const std::string& aAnswer)
-  {
-    const size_t end = aAnswer.find("\r\n\r\n");
-    if (end == std::string::npos) {
-      return false;
-    }
-    if (aAnswer.find("chunked") < end) {
-      return aAnswer.find("\r\n0\r\n\r\n") != std::string::npos;
-    }
-    const size_t at = aAnswer.find("Content-Length: ");
-    return at < end &&
-           aAnswer.size() >= end + 4 + std::stoul(aAnswer.substr(at + 16));
-  }
-
-  static int StatusOf(const std::string& aAnswer)
-  {
-    return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
-  }
-
   restinio::asio_ns::io_context io{ 1 };
   MemoryLog log{ io };
   GatewayHost host{ io, log, "host-1" };
--- a/gateway/testing/raw_peer.h
+++ b/gateway/testing/raw_peer.h
@@ -16,6 +16,29 @@
 
 namespace net = restinio::asio_ns;
 
+// True once an answer has come to its end.
+inline bool
+IsWhole(const std::string& aAnswer)
+{
+  const size_t end = aAnswer.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return false;
+  }
+  if (aAnswer.find("chunked") < end) {
+    return aAnswer.find("\r\n0\r\n\r\n") != std::string::npos;
+  }
+  const size_t at = aAnswer.find("Content-Length: ");
+  return at < end &&
+         aAnswer.size() >= end + 4 + std::stoul(aAnswer.substr(at + 16));
+}
+
+// 0 if no answer came.
+inline int
+StatusOf(const std::string& aAnswer)
+{
+  return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
+}
+
 // What an endpoint does after it has read a request.
 struct RawAction
 {
--- a/tests/integration/gateway_fleet_test.cc
+++ b/tests/integration/gateway_fleet_test.cc
@@ -15,10 +15,12 @@
 
 using testing_support::ChildProcess;
 using testing_support::FreePort;
+using testing_support::IsWhole;
 using testing_support::LoopbackAddress;
 using testing_support::RawAction;
 using testing_support::RawClient;
 using testing_support::RawEndpoint;
+using testing_support::StatusOf;
 using testing_support::StoreFault;
 using testing_support::StoreStandin;
 
@@ -171,20 +173,6 @@
     this->Until([] { return false; }, aTime);
   }
 
-  static bool IsWhole(const std::string& aAnswer)
-  {
-    const size_t end = aAnswer.find("\r\n\r\n");
-    if (end == std::string::npos) {
-      return false;
-    }
-    if (aAnswer.find("chunked") < end) {
-      return aAnswer.find("\r\n0\r\n\r\n") != std::string::npos;
-    }
-    const size_t at = aAnswer.find("Content-Length: ");
-    return at < end &&
-           aAnswer.size() >= end + 4 + std::stoul(aAnswer.substr(at + 16));
-  }
-
   // The whole answer; empty if the connection was refused or broke.
   std::string Ask(uint16_t aPort, const std::string& aRequest)
   {
@@ -200,11 +188,6 @@
     }
   }
 
-  static int StatusOf(const std::string& aAnswer)
-  {
-    return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
-  }
-
   int Look(size_t aHost, const std::string& aPath = "/look/1")
   {
     return StatusOf(this->Ask(
