Most endpoints lapsing together is a fault of the registry; a few are believed at once

Ruled out: heartbeats as a sign of life. Now a lapse is at least three and half of all entries within 3 s, none of which had drained.

--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -16,9 +16,10 @@
 //
 // EndpointTable outlives outages of the registry. An entry that is removed
 // while the registry is away, or within `returnGrace` of its return, stays
-// usable until that grace has passed: live endpoints are back by then. The
-// registry counts as away when it does not answer, and also when of several
-// endpoints none has refreshed its entry for kSilence: then they can't write.
+// usable until that grace has passed: live endpoints are back by then. The same
+// holds when most entries lapse within kLapseWindow without having drained:
+// endpoints that run could not refresh them. The first one that is back shows
+// that they can again.
 #ifndef TANAGERSEAM_CATALOG_CATALOG_H_
 #define TANAGERSEAM_CATALOG_CATALOG_H_
 
@@ -177,10 +178,11 @@
   {
   }
 
-  // Endpoints refresh their entries more often than this all together.
-  static constexpr Millis kSilence{ 1800 };
-  // With fewer entries silence says nothing.
-  static constexpr size_t kLeastForSilence = 3;
+  static constexpr Millis kLapseWindow{ 3000 };
+  // Fewer removals are believed, whatever part of all they are.
+  static constexpr size_t kLeastLapses = 3;
+  // Lapsed entries of which none is back for so long are gone.
+  static constexpr Millis kLongestLapse{ 15000 };
 
   void Put(EndpointEntry aEndpoint, TimePoint aNow);
   void Remove(const std::string& aId, TimePoint aNow);
@@ -191,24 +193,34 @@
   std::vector<std::string> Expire(TimePoint aNow);
   // The endpoints of a service that take new calls.
   std::vector<const EndpointEntry*> Usable(const std::string& aService) const;
+  // Also entries that are no longer usable, for kLapseWindow.
   const EndpointEntry* Find(const std::string& aId) const;
-  // No endpoint has refreshed its entry for some time.
-  bool Silent(TimePoint aNow) const;
-  size_t Size() const { return this->entries.size(); }
+  bool IsUsable(const std::string& aId) const;
 
 private:
   struct Entry
   {
     EndpointEntry endpoint;
-    // Removed by the registry; not yet believed.
+    // Removed by the registry; and whether that is believed.
     bool removed = false;
+    bool believed = false;
+    TimePoint removedAt{};
+
+    bool Usable() const
+    {
+      return !this->endpoint.draining && !(this->removed && this->believed);
+    }
   };
 
+  bool Trusts(TimePoint aNow) const;
+  // Notices that most entries lapsed, and takes their removals back.
+  void LookForLapse(TimePoint aNow);
+
   Millis returnGrace;
   std::map<std::string, Entry> entries;
-  // The newest refresh of any entry.
-  TimePoint refreshedAt{};
   bool lost = false;
+  // Most entries lapsed since then, and none is back; unset otherwise.
+  TimePoint lapsedAt{};
   // No removal is believed before.
   TimePoint trustRemovalsFrom{};
 };
--- a/catalog/endpoint_table.cc
+++ b/catalog/endpoint_table.cc
@@ -2,25 +2,27 @@
 
 namespace tanagerseam {
 
+bool
+EndpointTable::Trusts(TimePoint aNow) const
+{
+  const bool lapsed =
+    this->lapsedAt != TimePoint{} && aNow - this->lapsedAt < kLongestLapse;
+  return !this->lost && !lapsed && aNow >= this->trustRemovalsFrom;
+}
+
 void
 EndpointTable::Put(EndpointEntry aEndpoint, TimePoint aNow)
 {
-  if (this->Silent(aNow)) {
+  Entry& entry = this->entries[aEndpoint.id];
+  const bool back = entry.removed && !entry.believed;
+  if (back && this->lapsedAt != TimePoint{}) {
+    this->lapsedAt = TimePoint{};
     this->trustRemovalsFrom = aNow + this->returnGrace;
   }
-  this->refreshedAt = aNow;
-  Entry& entry = this->entries[aEndpoint.id];
   entry.endpoint = std::move(aEndpoint);
   entry.removed = false;
 }
 
-bool
-EndpointTable::Silent(TimePoint aNow) const
-{
-  return this->entries.size() >= kLeastForSilence &&
-         aNow - this->refreshedAt > kSilence;
-}
-
 void
 EndpointTable::Remove(const std::string& aId, TimePoint aNow)
 {
@@ -28,11 +30,35 @@
   if (found == this->entries.end()) {
     return;
   }
-  if (this->lost || this->Silent(aNow) || aNow < this->trustRemovalsFrom) {
-    found->second.removed = true;
+  Entry& entry = found->second;
+  if (entry.endpoint.draining) {
+    this->entries.erase(found);
     return;
   }
-  this->entries.erase(found);
+  entry.removed = true;
+  entry.removedAt = aNow;
+  entry.believed = this->Trusts(aNow);
+  this->LookForLapse(aNow);
+}
+
+void
+EndpointTable::LookForLapse(TimePoint aNow)
+{
+  std::vector<Entry*> lapses;
+  for (auto& entry : this->entries) {
+    const bool lately = aNow - entry.second.removedAt <= kLapseWindow;
+    if (entry.second.removed && lately) {
+      lapses.push_back(&entry.second);
+    }
+  }
+  const bool most = 2 * lapses.size() >= this->entries.size();
+  if (lapses.size() < kLeastLapses || !most) {
+    return;
+  }
+  this->lapsedAt = aNow;
+  for (Entry* entry : lapses) {
+    entry->believed = false;
+  }
 }
 
 void
@@ -55,16 +81,15 @@
 EndpointTable::Expire(TimePoint aNow)
 {
   std::vector<std::string> expired;
-  if (this->lost || this->Silent(aNow) || aNow < this->trustRemovalsFrom) {
-    return expired;
-  }
+  const bool trusts = this->Trusts(aNow);
   for (auto it = this->entries.begin(); it != this->entries.end();) {
-    if (it->second.removed) {
+    const Entry& entry = it->second;
+    const bool old = aNow - entry.removedAt > kLapseWindow;
+    const bool gone = entry.removed && (entry.believed ? old : trusts);
+    if (gone) {
       expired.push_back(it->first);
-      it = this->entries.erase(it);
-    } else {
-      ++it;
     }
+    it = gone ? this->entries.erase(it) : std::next(it);
   }
   return expired;
 }
@@ -75,7 +100,7 @@
   std::vector<const EndpointEntry*> usable;
   for (const auto& entry : this->entries) {
     const EndpointEntry& endpoint = entry.second.endpoint;
-    if (endpoint.service == aService && !endpoint.draining) {
+    if (endpoint.service == aService && entry.second.Usable()) {
       usable.push_back(&endpoint);
     }
   }
@@ -89,4 +114,11 @@
   return found == this->entries.end() ? nullptr : &found->second.endpoint;
 }
 
+bool
+EndpointTable::IsUsable(const std::string& aId) const
+{
+  auto found = this->entries.find(aId);
+  return found != this->entries.end() && found->second.Usable();
+}
+
 } // namespace tanagerseam
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -264,21 +264,22 @@
 Gateway::PutEndpoint(EndpointEntry aEndpoint)
 {
   GatewayState& state = this->impl->state;
-  const EndpointEntry* known = state.endpoints.Find(aEndpoint.id);
-  const bool changed =
-    known == nullptr || known->draining != aEndpoint.draining ||
-    known->address != aEndpoint.address || known->service != aEndpoint.service;
-  if (changed) {
-    LogInfo("endpoint_changed",
-            { { "endpoint", aEndpoint.id },
-              { "service", aEndpoint.service },
-              { "address", aEndpoint.address },
-              { "draining", aEndpoint.draining ? "true" : "false" } });
-  }
+  const std::string id = aEndpoint.id;
+  const EndpointEntry* known = state.endpoints.Find(id);
+  const bool moved = known == nullptr || known->address != aEndpoint.address ||
+                     known->service != aEndpoint.service;
+  const bool wasUsable = state.endpoints.IsUsable(id);
   state.endpoints.Put(std::move(aEndpoint), BootNow());
-  if (changed) {
-    state.UpdateDispatcher();
+  if (!moved && wasUsable == state.endpoints.IsUsable(id)) {
+    return;
   }
+  const EndpointEntry& endpoint = *state.endpoints.Find(id);
+  LogInfo("endpoint_changed",
+          { { "endpoint", id },
+            { "service", endpoint.service },
+            { "address", endpoint.address },
+            { "draining", endpoint.draining ? "true" : "false" } });
+  state.UpdateDispatcher();
 }
 
 void
@@ -289,7 +290,7 @@
     return;
   }
   state.endpoints.Remove(aId, BootNow());
-  const bool kept = state.endpoints.Find(aId) != nullptr;
+  const bool kept = state.endpoints.IsUsable(aId);
   LogInfo("endpoint_removed",
           { { "endpoint", aId }, { "why", kept ? "in_grace" : "registry" } });
   state.UpdateDispatcher();
