--- a/kernel/log.cc
+++ b/kernel/log.cc
@@ -23,6 +23,9 @@
 // Lines that come together before they are written in buffered mode, in bytes.
 constexpr size_t kWriteBytes = 8192;
 
+// Room for the line that counts what was left out.
+constexpr size_t kNoticeBytes = 512;
+
 std::string logHost;
 
 // Writes to standard output without ever waiting for its reader. Lines are
@@ -60,11 +63,12 @@
     this->Write();
   }
 
-  // Lines left out since the last call.
+  // Lines left out since the last call; 0 while there is no room to say so.
   size_t TakeDropped()
   {
     std::lock_guard<std::mutex> lock(this->mutex);
-    return std::exchange(this->dropped, 0);
+    const bool room = this->buffer.size() + kNoticeBytes <= kLogBufferBytes;
+    return room ? std::exchange(this->dropped, 0) : 0;
   }
 
   void MakeNonBlocking()
@@ -187,11 +191,11 @@
 void
 FlushLog()
 {
+  Output().Flush();
   const size_t dropped = Output().TakeDropped();
   if (dropped > 0) {
     LogWarn("log_lines_dropped", { { "lines", std::to_string(dropped) } });
   }
-  Output().Flush();
 }
 
 void
