--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -1,6 +1,7 @@
 #include "dispatch/dispatch.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tanagerseam {
 
@@ -228,10 +229,18 @@
 std::vector<Placement>
 Dispatcher::Next(TimePoint aNow)
 {
-  // More urgent programs first, then those that should end first.
-  this->waiting.sort([](const Held& aLeft, const Held& aRight) {
-    return std::tie(aLeft.work.priority, aLeft.work.finishAt, aLeft.work.id) <
-           std::tie(aRight.work.priority, aRight.work.finishAt, aRight.work.id);
+  // Programs that can still end in time go first; of these the more urgent
+  // ones, then those that should end first.
+  this->waiting.sort([aNow](const Held& aLeft, const Held& aRight) {
+    const bool leftLate = aLeft.work.finishAt < aNow;
+    const bool rightLate = aRight.work.finishAt < aNow;
+    return std::tie(leftLate,
+                    aLeft.work.priority,
+                    aLeft.work.finishAt,
+                    aLeft.work.id) < std::tie(rightLate,
+                                              aRight.work.priority,
+                                              aRight.work.finishAt,
+                                              aRight.work.id);
   });
   std::vector<Placement> placements;
   for (auto it = this->waiting.begin(); it != this->waiting.end();) {
--- a/dispatch/testing/dispatch_test.cc
+++ b/dispatch/testing/dispatch_test.cc
@@ -85,6 +85,20 @@
   EXPECT_EQ(next[0].workId, urgent.id);
 }
 
+TEST_F(DispatchStory, ABacklogOfLateProgramsDelaysNoneThatCanEndInTime)
+{
+  this->FillAll(0);
+  DispatchWork late = this->Work(false, 0);
+  late.finishAt = At(-500);
+  const DispatchWork inTime = this->Work(false, 1);
+  EXPECT_EQ(this->Offer(late, 0), "waits");
+  EXPECT_EQ(this->Offer(inTime, 0), "waits");
+  this->dispatcher.Finished(1, { WorkEnd::kAnswered, Millis(20) }, At(20));
+  const auto next = this->dispatcher.Next(At(20));
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].workId, inTime.id);
+}
+
 TEST_F(DispatchStory, ABurstOfNewProgramsIsRefusedAndThoseUnderWayAreNot)
 {
   this->FillAll(0);
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -12,6 +12,8 @@
 
 namespace asio = restinio::asio_ns;
 
+// After this time without a message a start of a host may be over.
+constexpr Millis kSilentStart(700);
 constexpr size_t kMaxDatagram = 60u << 10;
 // Questions whose answers are remembered for repetitions, for each peer.
 constexpr size_t kRememberedAnswers = 2048;
@@ -111,10 +113,16 @@
   struct PeerQuestions
   {
     uint64_t started = 0;
+    TimePoint heardAt{};
     std::deque<uint64_t> order;
     std::unordered_map<uint64_t, PeerQuestion> byNumber;
   };
-  using Order = std::pair<uint64_t, uint64_t>;
+  struct NewestReport
+  {
+    uint64_t started = 0;
+    uint64_t sequence = 0;
+    TimePoint at{};
+  };
 
   Impl(asio::io_context& aIo, FleetLinkSettings aSettings)
     : io(aIo)
@@ -238,16 +246,31 @@
     }
   }
 
+  // A start that is not known yet. The clock of a host may have been set back
+  // between two starts; so an earlier time is a new start too, once the other
+  // one has been silent.
+  static bool IsNewStart(uint64_t aKnown,
+                         uint64_t aTold,
+                         TimePoint aHeardAt,
+                         TimePoint aNow)
+  {
+    return aTold > aKnown || (aTold < aKnown && aNow - aHeardAt > kSilentStart);
+  }
+
   // Drops reports of an earlier start and those that were overtaken.
   void TakeReport(const fleetwire::DatagramT& aDatagram)
   {
     const auto report = FromWire(aDatagram, *aDatagram.body.AsLoadReport());
-    Order& newest = this->newestReport[report.host];
-    const Order order(report.started, report.sequence);
-    if (order <= newest) {
+    const TimePoint now = BootNow();
+    NewestReport& newest = this->newestReport[report.host];
+    const bool newStart =
+      IsNewStart(newest.started, report.started, newest.at, now);
+    const bool newer =
+      report.started == newest.started && report.sequence > newest.sequence;
+    if (!newStart && !newer) {
       return;
     }
-    newest = order;
+    newest = { report.started, report.sequence, now };
     if (this->handlers.onReport) {
       this->handlers.onReport(report);
     }
@@ -256,10 +279,15 @@
   PeerQuestions& QuestionsOf(const fleetwire::DatagramT& aDatagram)
   {
     PeerQuestions& questions = this->questions[aDatagram.host];
-    if (questions.started < aDatagram.started) {
+    const TimePoint now = BootNow();
+    const bool newStart =
+      IsNewStart(questions.started, aDatagram.started, questions.heardAt, now);
+    questions.heardAt = now;
+    if (newStart) {
       PeerQuestions former = std::move(questions);
       questions = PeerQuestions{};
       questions.started = aDatagram.started;
+      questions.heardAt = now;
       this->SettleAll(former);
     }
     return questions;
@@ -385,7 +413,7 @@
   std::string lastPeer;
   uint64_t sequence = 0;
   uint64_t nextRequest = 1;
-  std::unordered_map<std::string, Order> newestReport;
+  std::unordered_map<std::string, NewestReport> newestReport;
   std::unordered_map<std::string, PeerQuestions> questions;
   std::unordered_map<uint64_t, std::unique_ptr<Asked>> asked;
 };
