Configuration is confirmed six times in the life of a key; the store's return clears the log's absence

Cause: with key_freshness_ms = 2000 a host was fresh for 0.3 of each second, since a read that waits a second confirms as of its begin; and a turn was refused for 400 ms after the store was back. gateway_fleet_test failed first. Endpoints are read as they change, with 300 ms between reads, at half the calls; reports name only organisations in use.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -19,7 +19,10 @@
 namespace asio = restinio::asio_ns;
 
 // Server entries come all the time; they are read in bundles.
-constexpr Millis kServersSpacing(500);
+constexpr Millis kLongestConfirmWait(1000);
+constexpr int kConfirmsInFreshness = 6;
+constexpr Millis kServersWait(1500);
+constexpr Millis kServersSpacing(300);
 constexpr Millis kMembersSpacing(2000);
 constexpr Millis kAnnounceEvery(4000);
 constexpr Millis kAnnounceTimeout(1500);
@@ -105,10 +108,13 @@
     , link(io, LinkSettingsOf(settings, started))
     , gateway(SettingsOf(settings, started),
               GatewayParts{ io, client, dialect, store, link, metrics })
-    , configuration(io, store, { kConfigurationTopic }, ConfigurationHandlers())
+    , configuration(io,
+                    store,
+                    { kConfigurationTopic, ConfirmWait(settings) },
+                    ConfigurationHandlers())
     , servers(io,
               store,
-              { kServersTopic, Millis(500), kServersSpacing },
+              { kServersTopic, kServersWait, kServersSpacing },
               ServerHandlers())
     , members(io,
               store,
@@ -144,6 +150,14 @@
     return { aSettings.host, aStarted, address.ip, address.port };
   }
 
+  // A read that waits confirms the configuration as of its begin, so it may
+  // take only a small part of the time for which that is good.
+  static Millis ConfirmWait(const GatewayProcessSettings& aSettings)
+  {
+    return std::min(kLongestConfirmWait,
+                    aSettings.keyFreshness / kConfirmsInFreshness);
+  }
+
   EventServerSettings ServerAt(const std::string& aAddress) const
   {
     EventServerSettings server;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -253,7 +253,10 @@
   GatewayState& state = this->impl->state;
   const bool wasFresh = state.CatalogFresh(BootNow());
   state.catalogConfirmedAt = std::max(state.catalogConfirmedAt, aAskedAt);
-  state.storeLostSince = TimePoint{};
+  if (state.storeLostSince != TimePoint{}) {
+    state.storeLostSince = TimePoint{};
+    state.persistentLog.NoteBack();
+  }
   if (!wasFresh && state.CatalogFresh(BootNow())) {
     LogInfo("catalog_fresh",
             { { "version", std::to_string(state.catalog->Version()) } });
--- a/http/guarded_socket.h
+++ b/http/guarded_socket.h
@@ -116,6 +116,14 @@
     : Base(aIo)
   {
   }
+  GuardedSocket(GuardedSocket&&) = default;
+  GuardedSocket& operator=(GuardedSocket&&) = default;
+  ~GuardedSocket()
+  {
+    if (this->watch) {
+      this->watch->Forget();
+    }
+  }
 
   // RESTinio gives these names.
   // NOLINTBEGIN(readability-identifier-naming)
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -28,6 +28,10 @@
 constexpr double kOwnBurst = 0.2;
 // The rate of own buckets while the pool is overdrawn.
 constexpr double kOverdrawnRate = 0.5;
+// Calls a second below which nothing is told: that is a call 3 s ago.
+constexpr double kLeastDemand = 0.05;
+// A program that began is told for so long.
+constexpr Millis kToldFor(3000);
 // Part of the equal share that a host has without any demand.
 constexpr double kIdlePart = 0.1;
 
@@ -238,6 +242,7 @@
   bucket.promises = std::max(bucket.promises - calls, -burst);
   bucket.promised += calls;
   ++bucket.begun;
+  bucket.begunAt = aNow;
   Count(bucket, 0, 1);
   return true;
 }
@@ -299,11 +304,12 @@
 QuotaReports
 FleetQuota::OwnReports(TimePoint aNow) const
 {
-  constexpr double kLeastDemand = 0.01;
   QuotaReports reports;
   for (const auto& entry : this->buckets) {
     const double demand = DemandAt(entry.second, aNow);
-    if (demand > kLeastDemand || entry.second.begun > 0) {
+    const bool beganLately =
+      entry.second.begun > 0 && aNow - entry.second.begunAt < kToldFor;
+    if (demand > kLeastDemand || beganLately) {
       const Bucket& bucket = entry.second;
       reports[entry.first] = {
         demand, bucket.admitted, bucket.begun, bucket.promised
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -133,6 +133,7 @@
     TimePoint demandAt{};
     uint64_t admitted = 0;
     uint64_t begun = 0;
+    TimePoint begunAt{};
     double promised = 0;
     // Over the fleet, for the calls of a program; halved now and then.
     double fleetAdmitted = 0;
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -38,6 +38,8 @@
   // don't ask a log that is away would never learn of its return; so it counts
   // as back, for one look, kLookAgainAfter after the last failure.
   bool Away(TimePoint aNow) const;
+  // The log was seen to answer elsewhere.
+  void NoteBack() { this->failingSince = TimePoint{}; }
 
 private:
   struct AppendTask;
