--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Without X-Deadline-Ms and a shorter limit of the route.
+// For a client that names no deadline, on a route without a shorter limit.
 constexpr Millis kLongestCall(600000);
 // For the log, before a call is placed.
 constexpr Millis kLongestLogWait(600);
