A shutdown waits until answers are written

An answer now counts as under way until its last byte is written, and the process ends after three looks without any. UnreadAnswer failed first.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -33,6 +33,7 @@
 // Before the kill, for what is left to be written.
 constexpr Millis kShutdownMargin(700);
 constexpr Millis kShutdownPoll(50);
+constexpr int kIdlePollsBeforeExit = 3;
 
 struct HostPort
 {
@@ -415,7 +416,9 @@
       this->acceptingStopped = true;
       this->calls->StopAccepting();
     }
-    if (late || (noticed && this->calls->Busy() == 0)) {
+    // A request may just be on its way from the kernel to its handler.
+    this->idlePolls = this->calls->Busy() == 0 ? this->idlePolls + 1 : 0;
+    if (late || (noticed && this->idlePolls >= kIdlePollsBeforeExit)) {
       LogInfo("stopped",
               { { "calls", std::to_string(this->gateway.UnderWay()) },
                 { "after_ms", std::to_string(waited.count()) } });
@@ -459,6 +462,7 @@
   bool serversLost = false;
   bool membersKnown = false;
   bool acceptingStopped = false;
+  int idlePolls = 0;
   TimePoint stopAskedAt{};
 };
 
--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -86,7 +86,7 @@
     if (this->request->header().method() != restinio::http_method_head()) {
       builder.set_body(std::move(aBody));
     }
-    builder.done();
+    builder.done(this->WhenWritten());
   }
 
   void Begin(int aStatus, const HttpHeaders& aHeaders) override
@@ -114,7 +114,7 @@
     if (!this->Finish()) {
       return;
     }
-    this->chunks->done();
+    this->chunks->done(this->WhenWritten());
     this->chunks.reset();
   }
 
@@ -154,11 +154,16 @@
       return false;
     }
     this->ended = true;
-    --this->state->busy;
     this->watch->End();
     return true;
   }
 
+  // The answer is under way until its last byte has been written, or can't be.
+  std::function<void(const restinio::asio_ns::error_code&)> WhenWritten()
+  {
+    return [state = this->state](const auto&) { --state->busy; };
+  }
+
   void Flush(size_t aBytes)
   {
     this->unwritten += aBytes;
@@ -185,6 +190,7 @@
 
   void BreakNow()
   {
+    --this->state->busy;
     this->watch->Break();
     // RESTinio closes the connection when a write to it fails.
     if (!this->chunks) {
--- a/http/event_server.h
+++ b/http/event_server.h
@@ -87,7 +87,7 @@
   void StopAccepting();
   // Each connection is closed after its next answer.
   void CloseAfterAnswers();
-  // Requests that are not answered whole.
+  // Requests whose answers are not written whole.
   size_t Busy() const;
 
 private:
--- /dev/null
+++ b/http/testing/event_server_test.cc
@@ -0,0 +1,93 @@
+// An answer counts as under way until its last byte has been written, so that a
+// process that ends with its last call cuts none.
+#include <gtest/gtest.h>
+
+#include "http/event_server.h"
+#include "tests/support/free_port.h"
+
+namespace tanagerseam {
+namespace {
+
+namespace net = restinio::asio_ns;
+
+constexpr size_t kLargeBody = 32u << 20;
+
+class UnreadAnswer : public ::testing::Test
+{
+protected:
+  void Open(EventHandler aHandler)
+  {
+    EventServerSettings settings;
+    settings.port = testing_support::FreePort();
+    this->server =
+      std::make_unique<EventServer>(this->io, settings, std::move(aHandler));
+    this->server->Open();
+    this->RunFor(Millis(10));
+    this->client.connect({ net::ip::make_address("127.0.0.1"), settings.port });
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    net::write(this->client, net::buffer(request));
+    this->RunFor(Millis(100));
+  }
+
+  void RunFor(Millis aTime)
+  {
+    this->io.restart();
+    this->io.run_for(aTime);
+  }
+
+  // Reads what comes until the server has nothing under way.
+  void ReadOn()
+  {
+    std::vector<char> piece(1u << 20);
+    this->client.non_blocking(true);
+    const TimePoint end = BootNow() + Millis(5000);
+    while (this->server->Busy() > 0 && BootNow() < end) {
+      net::error_code ignored;
+      this->client.read_some(net::buffer(piece), ignored);
+      this->RunFor(Millis(1));
+    }
+  }
+
+  net::io_context io{ 1 };
+  std::unique_ptr<EventServer> server;
+  net::ip::tcp::socket client{ io };
+};
+
+TEST_F(UnreadAnswer, AWholeOneIsUnderWayUntilItIsWritten)
+{
+  this->Open(
+    [](const EventRequest&, const std::shared_ptr<EventReply>& aReply) {
+      aReply->Send(200, {}, std::string(kLargeBody, 'x'));
+    });
+  EXPECT_EQ(this->server->Busy(), 1u);
+  this->ReadOn();
+  EXPECT_EQ(this->server->Busy(), 0u);
+}
+
+TEST_F(UnreadAnswer, AStreamIsUnderWayUntilItsEndIsWritten)
+{
+  this->Open(
+    [](const EventRequest&, const std::shared_ptr<EventReply>& aReply) {
+      aReply->Begin(200, {});
+      aReply->Write(std::string(kLargeBody, 'x'));
+      aReply->End();
+    });
+  EXPECT_EQ(this->server->Busy(), 1u);
+  this->ReadOn();
+  EXPECT_EQ(this->server->Busy(), 0u);
+}
+
+TEST_F(UnreadAnswer, AClientThatClosesLeavesNothingUnderWay)
+{
+  this->Open(
+    [](const EventRequest&, const std::shared_ptr<EventReply>& aReply) {
+      aReply->Send(200, {}, std::string(kLargeBody, 'x'));
+    });
+  net::error_code ignored;
+  this->client.close(ignored);
+  this->RunFor(Millis(300));
+  EXPECT_EQ(this->server->Busy(), 0u);
+}
+
+} // namespace
+} // namespace tanagerseam
