Dispatch: hosts agree on a program's endpoint, draw the others, and count what a prompt holds up

Parts of prompts were remembered by id, though a line's part grows with each turn.

Ruled out: the application's endpoints (12 of 36 slots busy), programs without end (1.8 in 100 of the engines' time), waiting at hosts (10 ms).

A part is remembered with its tokens; an uncached token weighs more the more calls its reading holds up; all hosts expect a program's prompt at the endpoint of highest hash; beside it two endpoints drawn by hash are compared; reports go each 100 ms.

--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "kernel/digest.h"
+
 namespace tanagerseam {
 
 namespace {
@@ -20,6 +22,19 @@
 // What a call about an object saves where the object was handled lately.
 constexpr double kAffinityGain = 0.3;
 
+// Of a part, what the endpoint is expected to hold at which all hosts expect a
+// program's prompts; the rest is new.
+constexpr double kExpectedPart = 0.7;
+// A part of which so much is held counts as held: what follows it can be, too.
+constexpr double kWholePart = 0.9;
+
+int64_t
+ExpectedTokens(const PromptPart& aPart)
+{
+  return static_cast<int64_t>(static_cast<double>(aPart.tokens) *
+                              kExpectedPart);
+}
+
 double
 MillisOf(Millis aTime)
 {
@@ -82,9 +97,47 @@
   return found == this->routeMillis.end() ? kUnknownRouteMillis : found->second;
 }
 
+const Dispatcher::State*
+Dispatcher::Preferred(const std::vector<State*>& aStates,
+                      const std::string& aGroup)
+{
+  const State* preferred = nullptr;
+  uint64_t highest = 0;
+  for (const State* state : aStates) {
+    const uint64_t hash = StableHash(aGroup + "@" + state->endpoint.id);
+    if (!aGroup.empty() && (preferred == nullptr || hash > highest)) {
+      preferred = state;
+      highest = hash;
+    }
+  }
+  return preferred;
+}
+
+int64_t
+Dispatcher::UncachedTokens(const State& aState,
+                           const DispatchWork& aWork,
+                           bool aIsPreferred)
+{
+  int64_t tokens = 0;
+  bool prefixHeld = true;
+  for (const PromptPart& part : aWork.prompt) {
+    int64_t held = aIsPreferred ? ExpectedTokens(part) : 0;
+    auto known = aState.cachedAt.find(part.id);
+    if (known != aState.cachedAt.end()) {
+      held = std::max(held, known->second->tokens);
+    }
+    held = prefixHeld ? std::min(held, part.tokens) : 0;
+    prefixHeld = static_cast<double>(held) >=
+                 static_cast<double>(part.tokens) * kWholePart;
+    tokens += part.tokens - held;
+  }
+  return tokens;
+}
+
 double
 Dispatcher::Expected(const State& aState,
                      const DispatchWork& aWork,
+                     bool aIsPreferred,
                      TimePoint aNow) const
 {
   double work = this->RouteMillis(aWork.route) * aState.slowness;
@@ -92,18 +145,16 @@
     work *= 1 - kAffinityGain;
   }
   const double slots = std::max(1, aState.endpoint.slots);
-  const double load = aState.own + this->OtherLoad(aState, aNow);
+  const double load = this->Load(aState, aNow);
   // Each call shares the endpoint's processor with those that run.
   const double shared = 1 + 0.15 * std::min(1.0, load / slots);
   const double ahead = std::max(0.0, load + 1 - slots);
   const double wait = ahead / slots * work;
-  int64_t cold = 0;
-  bool prefixHeld = true;
-  for (const PromptPart& part : aWork.prompt) {
-    prefixHeld = prefixHeld && aState.cachedAt.count(part.id) > 0;
-    cold += prefixHeld ? 0 : part.tokens;
-  }
-  const double prefill = cold / this->settings.prefillTokensPerMilli;
+  const auto unread =
+    static_cast<double>(UncachedTokens(aState, aWork, aIsPreferred));
+  const double heldUp = this->settings.batchDelay * std::min(load, slots);
+  const double prefill =
+    unread / this->settings.prefillTokensPerMilli * (1 + heldUp);
   const bool near = aState.endpoint.zone == this->settings.zone;
   const double way = near ? 0 : this->settings.crossZoneMillis;
   return work * shared + wait + prefill + way;
@@ -130,58 +181,92 @@
   return tooMany ? all : sound;
 }
 
-Dispatcher::State*
+std::vector<Dispatcher::State*>
+Dispatcher::Draw(std::vector<State*> aStates,
+                 const State* aPreferred,
+                 uint64_t aWorkId) const
+{
+  const std::string salt =
+    this->settings.host + "/" + std::to_string(aWorkId) + "/";
+  const auto rank = [&salt, aPreferred](const State* aState) {
+    return aState == aPreferred ? 0 : StableHash(salt + aState->endpoint.id);
+  };
+  std::sort(aStates.begin(),
+            aStates.end(),
+            [&rank](const State* aLeft, const State* aRight) {
+              return rank(aLeft) < rank(aRight);
+            });
+  const size_t most = this->settings.drawnEndpoints + 1;
+  if (aStates.size() > most) {
+    aStates.resize(most);
+  }
+  return aStates;
+}
+
+std::optional<Dispatcher::Choice>
 Dispatcher::Choose(const DispatchWork& aWork, double aFill, TimePoint aNow)
 {
-  State* best = nullptr;
-  double bestMillis = 0;
-  for (State* state : this->Candidates(aWork, aNow)) {
-    const double load = state->own + this->OtherLoad(*state, aNow);
-    if (load >= aFill * state->endpoint.slots) {
-      continue;
+  const auto candidates = this->Candidates(aWork, aNow);
+  const State* preferred = Preferred(candidates, aWork.group);
+  std::vector<State*> roomy;
+  for (State* state : candidates) {
+    if (this->Load(*state, aNow) < aFill * state->endpoint.slots) {
+      roomy.push_back(state);
     }
-    const double millis = this->Expected(*state, aWork, aNow);
-    if (best == nullptr || millis < bestMillis) {
-      best = state;
-      bestMillis = millis;
+  }
+  std::optional<Choice> best;
+  for (State* state : this->Draw(std::move(roomy), preferred, aWork.id)) {
+    const double millis =
+      this->Expected(*state, aWork, state == preferred, aNow);
+    if (!best || millis < best->expectedMillis) {
+      best = Choice{ state, millis };
     }
   }
   return best;
 }
 
 void
-Dispatcher::Remember(State& aState, const std::string& aPart)
+Dispatcher::Remember(State& aState, const PromptPart& aPart)
 {
-  auto known = aState.cachedAt.find(aPart);
+  auto known = aState.cachedAt.find(aPart.id);
   if (known != aState.cachedAt.end()) {
     aState.cached.splice(aState.cached.begin(), aState.cached, known->second);
+    known->second->tokens = std::max(known->second->tokens, aPart.tokens);
     return;
   }
-  aState.cached.push_front(aPart);
-  aState.cachedAt[aPart] = aState.cached.begin();
+  aState.cached.push_front({ aPart.id, aPart.tokens });
+  aState.cachedAt[aPart.id] = aState.cached.begin();
   if (aState.cached.size() > kMaxCached) {
-    aState.cachedAt.erase(aState.cached.back());
+    aState.cachedAt.erase(aState.cached.back().id);
     aState.cached.pop_back();
   }
 }
 
 Placement
-Dispatcher::Place(State& aState, const DispatchWork& aWork, TimePoint aNow)
+Dispatcher::Place(const Choice& aChoice,
+                  const DispatchWork& aWork,
+                  TimePoint aNow)
 {
+  State& state = *aChoice.state;
   Placement placement;
   placement.workId = aWork.id;
-  placement.endpoint = aState.endpoint.id;
-  placement.expectedMillis = this->Expected(aState, aWork, aNow);
-  placement.ownLoad = aState.own;
-  placement.otherLoad = this->OtherLoad(aState, aNow);
-  ++aState.own;
+  placement.endpoint = state.endpoint.id;
+  placement.expectedMillis = aChoice.expectedMillis;
+  placement.ownLoad = state.own;
+  placement.otherLoad = this->OtherLoad(state, aNow);
+  ++state.own;
   for (const PromptPart& part : aWork.prompt) {
-    this->Remember(aState, part.id);
+    Remember(state, part);
+  }
+  if (!aWork.prompt.empty()) {
+    // What the call generates stays with the last part.
+    const PromptPart& last = aWork.prompt.back();
+    Remember(state, { last.id, last.tokens + aWork.outputTokens });
   }
   if (!aWork.affinity.empty()) {
-    this->Remember(aState, aWork.affinity);
+    Remember(state, { aWork.affinity, 0 });
   }
-  this->underWay[aWork.id] = { aState.endpoint.id,
+  this->underWay[aWork.id] = { state.endpoint.id,
                                aWork.route,
                                aWork.outputTokens > 0 };
   return placement;
@@ -196,7 +281,7 @@
     const State& state = entry.second;
     if (state.service == aService && state.takesCalls) {
       slots += state.endpoint.slots;
-      load += state.own + this->OtherLoad(state, aNow);
+      load += this->Load(state, aNow);
     }
   }
   return slots > 0 ? load / slots : 0;
@@ -219,8 +304,8 @@
       return Refused{ DispatchRefusal::kOverloaded, load };
     }
   }
-  if (State* state = this->Choose(aWork, 1, aNow)) {
-    return this->Place(*state, aWork, aNow);
+  if (const auto choice = this->Choose(aWork, 1, aNow)) {
+    return this->Place(*choice, aWork, aNow);
   }
   this->waiting.push_back({ aWork, aNow });
   return Waiting{ this->waiting.size() - 1 };
@@ -244,13 +329,14 @@
   });
   std::vector<Placement> placements;
   for (auto it = this->waiting.begin(); it != this->waiting.end();) {
-    const bool heldLong = aNow - it->since >= kLongestHold;
-    State* state = this->Choose(it->work, heldLong ? kOverfill : 1, aNow);
-    if (state == nullptr) {
+    const bool heldLong = aNow - it->since >= this->settings.longestHold;
+    const double fill = heldLong ? this->settings.overfill : 1;
+    const auto choice = this->Choose(it->work, fill, aNow);
+    if (!choice) {
       ++it;
       continue;
     }
-    placements.push_back(this->Place(*state, it->work, aNow));
+    placements.push_back(this->Place(*choice, it->work, aNow));
     it = this->waiting.erase(it);
   }
   return placements;
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -8,18 +8,29 @@
 //   dispatcher.Finished(work.id, outcome, now);
 //   for (const Placement& next : dispatcher.Next(now)) { ... send ... }
 //
-// Takes time as an argument, knows no network and draws no random numbers.
+// Takes time as an argument, knows no network and draws no random numbers: what
+// is drawn, is drawn by hash.
 //
 // Each endpoint runs `slots` calls at once and queues more, in order of
 // arrival. A call that waits here can still be put behind a more urgent one, so
 // calls go out only while an endpoint is thought to have a free slot. What
 // other hosts have under way is known from their reports and from the load that
 // endpoints tell in their answers; both are late, so a call that has waited for
-// kLongestHold goes out anyway, up to kOverfill beyond the slots.
+// `longestHold` goes out anyway, up to `overfill` beyond the slots.
 //
 // Among endpoints with a free slot the one is taken where the call is expected
 // to end first: learnt speed, prompt parts that are not cached there, and the
-// way to another availability zone.
+// way to another availability zone. Reading a prompt holds up every call of the
+// endpoint's batch, so a part that is not cached weighs more on a busy one.
+//
+// Calls of one program come in at several hosts, and no host sees what the
+// others have sent where. So all hosts expect a program's prompt at the same
+// endpoint, the one with the highest hash of program and endpoint, unless they
+// have sent it elsewhere themselves.
+//
+// Loads are known late, so hosts that all took the least loaded endpoint would
+// all take the same one. Each call is compared at that endpoint of its program
+// and at `drawnEndpoints` others with room, drawn by hash of host and call.
 //
 // Admission: the first call of a program is refused while the service's load
 // is at its limit for this priority; calls of programs under way never are.
@@ -35,6 +46,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -45,7 +57,8 @@
 
 namespace tanagerseam {
 
-// A part of a prompt, as endpoints cache it.
+// A part of a prompt, as endpoints cache it. A line of turns keeps its part's
+// id, and the part grows with each turn.
 struct PromptPart
 {
   std::string id;
@@ -74,6 +87,8 @@
   // When its program should end; later ones wait longer.
   TimePoint finishAt{};
   std::vector<PromptPart> prompt;
+  // Calls of one group, such as a program, share most of their prompts.
+  std::string group;
   // Calls about the same object; empty if there is none.
   std::string affinity;
   // Most tokens that it generates; 0 for plain services.
@@ -141,6 +156,8 @@
 struct DispatchSettings
 {
   std::string zone;
+  // Distinguishes this host's draws from those of others.
+  std::string host;
   // The time that another availability zone adds.
   double crossZoneMillis = 2;
   // Prompt tokens that an engine reads in a millisecond.
@@ -149,15 +166,21 @@
   // priority below begins to be refused earlier.
   double admitLoad = 1.15;
   double admitLoadStep = 0.05;
+  // Calls are held back for a free slot this long, then sent up to `overfill`
+  // times the slots.
+  Millis longestHold{ 40 };
+  double overfill = 1.5;
+  // Part of the time for reading a prompt that counts once more for each call
+  // of the batch that it holds up.
+  double batchDelay = 1;
+  // Endpoints that are compared for a call, beside the one that its group
+  // prefers.
+  size_t drawnEndpoints = 2;
 };
 
 class Dispatcher
 {
 public:
-  // A call is not held back for a free slot longer than this.
-  static constexpr Millis kLongestHold{ 40 };
-  // Load beyond the slots that is still sent to an endpoint, as a factor.
-  static constexpr double kOverfill = 1.5;
   // Reports of other hosts and endpoints count for this long.
   static constexpr Millis kReportLife{ 1500 };
 
@@ -186,6 +209,11 @@
   size_t WaitingCalls() const { return this->waiting.size(); }
 
 private:
+  struct CachedPart
+  {
+    std::string id;
+    int64_t tokens = 0;
+  };
   struct State
   {
     DispatchEndpoint endpoint;
@@ -200,8 +228,8 @@
     int failures = 0;
     TimePoint ejectedUntil{};
     // Prompt parts and objects, newest use first.
-    std::list<std::string> cached;
-    std::unordered_map<std::string, std::list<std::string>::iterator> cachedAt;
+    std::list<CachedPart> cached;
+    std::unordered_map<std::string, std::list<CachedPart>::iterator> cachedAt;
   };
   struct UnderWay
   {
@@ -214,6 +242,11 @@
     DispatchWork work;
     TimePoint since{};
   };
+  struct Choice
+  {
+    State* state = nullptr;
+    double expectedMillis = 0;
+  };
   struct PeerReport
   {
     std::unordered_map<std::string, int> loads;
@@ -221,14 +254,35 @@
   };
 
   double OtherLoad(const State& aState, TimePoint aNow) const;
+  double Load(const State& aState, TimePoint aNow) const
+  {
+    return aState.own + this->OtherLoad(aState, aNow);
+  }
   double Expected(const State& aState,
                   const DispatchWork& aWork,
+                  bool aIsPreferred,
                   TimePoint aNow) const;
+  // Tokens of the prompt that the endpoint is thought to have to read.
+  static int64_t UncachedTokens(const State& aState,
+                                const DispatchWork& aWork,
+                                bool aIsPreferred);
+  // Where all hosts expect what the calls of a group have in common; nothing
+  // for calls without a group.
+  static const State* Preferred(const std::vector<State*>& aStates,
+                                const std::string& aGroup);
+  // The endpoints that are compared for a call.
+  std::vector<State*> Draw(std::vector<State*> aStates,
+                           const State* aPreferred,
+                           uint64_t aWorkId) const;
   // The best endpoint with room, up to aFill times its slots.
-  State* Choose(const DispatchWork& aWork, double aFill, TimePoint aNow);
+  std::optional<Choice> Choose(const DispatchWork& aWork,
+                               double aFill,
+                               TimePoint aNow);
   std::vector<State*> Candidates(const DispatchWork& aWork, TimePoint aNow);
-  Placement Place(State& aState, const DispatchWork& aWork, TimePoint aNow);
-  void Remember(State& aState, const std::string& aPart);
+  Placement Place(const Choice& aChoice,
+                  const DispatchWork& aWork,
+                  TimePoint aNow);
+  static void Remember(State& aState, const PromptPart& aPart);
   void LearnSpeed(State& aState,
                   const UnderWay& aCall,
                   const WorkOutcome& aOutcome);
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -234,6 +234,7 @@
     work.finishAt = this->arrivedAt + *this->call.program->finishWithin;
   }
   work.prompt = this->call.prompt;
+  work.group = this->programKey;
   work.affinity = this->call.affinity;
   work.outputTokens =
     this->route->kind == CallKind::kStream ? this->call.outputTokens : 0;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -18,6 +18,7 @@
 {
   DispatchSettings settings;
   settings.zone = aSettings.zone;
+  settings.host = aSettings.host;
   return settings;
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -71,7 +71,7 @@
 {
 public:
   // Time between reports to the other hosts.
-  static constexpr Millis kReportEvery{ 200 };
+  static constexpr Millis kReportEvery{ 100 };
 
   Gateway(GatewaySettings aSettings, GatewayParts aParts);
   ~Gateway();
