--- a/call/call.h
+++ b/call/call.h
@@ -60,6 +60,8 @@
   std::vector<PromptPart> prompt;
   // Calls about the same object share it.
   std::string affinity;
+  // Another host of the fleet took it from the client and passed it on.
+  bool forwarded = false;
 };
 
 // Load that an endpoint tells.
@@ -96,6 +98,10 @@
                               const std::string& aOrganisation,
                               const std::string& aBody,
                               Millis aTimeLeft) const = 0;
+  // The call as its client sent it, for the host of the fleet at aAddress.
+  virtual EventCall WriteForward(const ServiceCall& aCall,
+                                 const std::string& aAddress,
+                                 Millis aTimeLeft) const = 0;
   virtual EndpointAnswer ReadAnswer(int aStatus,
                                     const HttpHeaders& aHeaders) const = 0;
   virtual HttpAnswer WriteRefusal(const Refusal& aRefusal,
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -136,6 +136,7 @@
     GatewaySettings settings;
     settings.host = aSettings.host;
     settings.zone = aSettings.zone;
+    settings.callAddress = aSettings.callAddress;
     settings.started = aStarted;
     settings.freshStart = aSettings.freshStart;
     settings.keyFreshness = aSettings.keyFreshness;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -60,6 +60,10 @@
   std::unordered_map<std::string, OrganisationUse> organisations;
   // The host can't reach the platform's store, or is about to stop.
   bool storeLost = false;
+  // It can judge and serve calls.
+  bool ready = false;
+  // Where it takes calls, as IP:PORT.
+  std::string callAddress;
 };
 
 // Tokens of a program's budget that a turn may need.
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -24,6 +24,8 @@
   fleetwire::LoadReportT table;
   table.sequence = aReport.sequence;
   table.store_lost = aReport.storeLost;
+  table.ready = aReport.ready;
+  table.call_address = aReport.callAddress;
   for (const auto& entry : aReport.endpointCalls) {
     auto calls = std::make_unique<fleetwire::EndpointCallsT>();
     calls->endpoint = entry.first;
@@ -59,6 +61,8 @@
   report.started = aDatagram.started;
   report.sequence = aTable.sequence;
   report.storeLost = aTable.store_lost;
+  report.ready = aTable.ready;
+  report.callAddress = aTable.call_address;
   for (const auto& entry : aTable.endpoints) {
     report.endpointCalls[entry->endpoint] = entry->calls;
   }
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -421,6 +421,8 @@
   std::vector<std::unique_ptr<tanagerseam::fleetwire::EndpointCallsT>> endpoints{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::OrganisationUseT>> organisations{};
   bool store_lost = false;
+  bool ready = false;
+  std::string call_address{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -435,7 +437,9 @@
     VT_SEQUENCE = 4,
     VT_ENDPOINTS = 6,
     VT_ORGANISATIONS = 8,
-    VT_STORE_LOST = 10
+    VT_STORE_LOST = 10,
+    VT_READY = 12,
+    VT_CALL_ADDRESS = 14
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -449,6 +453,12 @@
   bool store_lost() const {
     return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
   }
+  bool ready() const {
+    return GetField<uint8_t>(VT_READY, 0) != 0;
+  }
+  const flatbuffers::String *call_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALL_ADDRESS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -459,6 +469,9 @@
            verifier.VerifyVector(organisations()) &&
            verifier.VerifyVectorOfTables(organisations()) &&
            VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_READY, 1) &&
+           VerifyOffset(verifier, VT_CALL_ADDRESS) &&
+           verifier.VerifyString(call_address()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -482,6 +495,12 @@
   void add_store_lost(bool store_lost) {
     fbb_.AddElement<uint8_t>(LoadReport::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
   }
+  void add_ready(bool ready) {
+    fbb_.AddElement<uint8_t>(LoadReport::VT_READY, static_cast<uint8_t>(ready), 0);
+  }
+  void add_call_address(flatbuffers::Offset<flatbuffers::String> call_address) {
+    fbb_.AddOffset(LoadReport::VT_CALL_ADDRESS, call_address);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -498,11 +517,15 @@
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>> organisations = 0,
-    bool store_lost = false) {
+    bool store_lost = false,
+    bool ready = false,
+    flatbuffers::Offset<flatbuffers::String> call_address = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
+  builder_.add_call_address(call_address);
   builder_.add_organisations(organisations);
   builder_.add_endpoints(endpoints);
+  builder_.add_ready(ready);
   builder_.add_store_lost(store_lost);
   return builder_.Finish();
 }
@@ -517,15 +540,20 @@
     uint64_t sequence = 0,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> *endpoints = nullptr,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *organisations = nullptr,
-    bool store_lost = false) {
+    bool store_lost = false,
+    bool ready = false,
+    const char *call_address = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>(*organisations) : 0;
+  auto call_address__ = call_address ? _fbb.CreateString(call_address) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       sequence,
       endpoints__,
       organisations__,
-      store_lost);
+      store_lost,
+      ready,
+      call_address__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1108,7 +1136,9 @@
 
 inline LoadReportT::LoadReportT(const LoadReportT &o)
       : sequence(o.sequence),
-        store_lost(o.store_lost) {
+        store_lost(o.store_lost),
+        ready(o.ready),
+        call_address(o.call_address) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new tanagerseam::fleetwire::EndpointCallsT(*endpoints_) : nullptr); }
   organisations.reserve(o.organisations.size());
@@ -1120,6 +1150,8 @@
   std::swap(endpoints, o.endpoints);
   std::swap(organisations, o.organisations);
   std::swap(store_lost, o.store_lost);
+  std::swap(ready, o.ready);
+  std::swap(call_address, o.call_address);
   return *this;
 }
 
@@ -1136,6 +1168,8 @@
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::EndpointCallsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = std::unique_ptr<tanagerseam::fleetwire::OrganisationUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = store_lost(); _o->store_lost = _e; }
+  { auto _e = ready(); _o->ready = _e; }
+  { auto _e = call_address(); if (_e) _o->call_address = _e->str(); }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1150,12 +1184,16 @@
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointCalls(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _organisations = _o->organisations.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> (_o->organisations.size(), [](size_t i, _VectorArgs *__va) { return CreateOrganisationUse(*__va->__fbb, __va->__o->organisations[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _store_lost = _o->store_lost;
+  auto _ready = _o->ready;
+  auto _call_address = _o->call_address.empty() ? 0 : _fbb.CreateString(_o->call_address);
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       _sequence,
       _endpoints,
       _organisations,
-      _store_lost);
+      _store_lost,
+      _ready,
+      _call_address);
 }
 
 inline ReserveTokensT *ReserveTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "gateway/forwarded_call.h"
+
 namespace tanagerseam {
 
 namespace {
@@ -13,6 +15,8 @@
 constexpr double kRetryPart = 0.3;
 constexpr Millis kSoonestRetry(100);
 constexpr Millis kLatestRetry(900);
+// For a client that names no deadline, at a peer.
+constexpr Millis kLongestForward(60000);
 // An endpoint gets a little less time than the client has.
 constexpr Millis kAnswerWay(5);
 
@@ -313,6 +317,45 @@
   return Millis(static_cast<int64_t>(most * draw(this->state.random)));
 }
 
+bool
+CallFlow::PeerMayServe(RefusalReason aReason) const
+{
+  const TimePoint now = BootNow();
+  switch (aReason) {
+    case RefusalReason::kNotReady:
+      return true;
+    case RefusalReason::kLogUnavailable:
+      // If only some partitions are away, a peer is no better off.
+      return this->state.persistentLog.Away(now) || this->state.StoreAway(now);
+    case RefusalReason::kNoEndpoint:
+      return this->state.endpoints.Usable(this->service).empty();
+    default:
+      return false;
+  }
+}
+
+bool
+CallFlow::Forward(const Refusal& aRefusal)
+{
+  if (this->call.forwarded || this->attempts > 0 || this->mayHaveRun ||
+      !this->PeerMayServe(aRefusal.reason)) {
+    return false;
+  }
+  const auto addresses = this->state.peers.ReadyAddresses(BootNow());
+  if (addresses.empty()) {
+    return false;
+  }
+  std::uniform_int_distribution<size_t> draw(0, addresses.size() - 1);
+  const std::string address = addresses[draw(this->state.random)];
+  const TimePoint until =
+    this->arrivedAt + this->call.timeLeft.value_or(kLongestForward);
+  auto forwarded = std::make_shared<ForwardedCall>(
+    this->state, this->call, this->reply, aRefusal, until);
+  this->End("forwarded");
+  forwarded->Start(address);
+  return true;
+}
+
 void
 CallFlow::Refuse(RefusalReason aReason, const std::string& aDetail)
 {
@@ -332,6 +375,9 @@
   refusal.reason = aReason;
   refusal.retryAfter = aRetryAfter;
   refusal.detail = aDetail;
+  if (this->Forward(refusal)) {
+    return;
+  }
   const HttpAnswer out =
     this->state.parts.dialect.WriteRefusal(refusal, this->call.id);
   this->state.parts.metrics.Count("tanagerseam_refusals_total",
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -67,6 +67,10 @@
   void OnClientGone();
   void OnTimeUp();
   void Refuse(RefusalReason aReason, const std::string& aDetail);
+  // A peer serves the call, which this host has to refuse for aRefusal.
+  bool Forward(const Refusal& aRefusal);
+  // Another host may be able to do what this one can't.
+  bool PeerMayServe(RefusalReason aReason) const;
   void RefuseUntil(RefusalReason aReason,
                    const std::string& aDetail,
                    std::optional<Millis> aRetryAfter);
--- a/gateway/call_relay.cc
+++ b/gateway/call_relay.cc
@@ -4,13 +4,6 @@
 
 namespace tanagerseam {
 
-namespace {
-
-// Bytes that a client may leave unread before its endpoint is read no further.
-constexpr size_t kMostUnread = 256u << 10;
-
-} // namespace
-
 void
 CallFlow::RelayEvents(std::string_view aPiece)
 {
@@ -37,7 +30,7 @@
             this->Named({ { "endpoint", this->endpointId } }));
   }
   this->reply->Write(std::string(aPiece));
-  if (!this->slowed && this->reply->Unwritten() > kMostUnread) {
+  if (!this->slowed && this->reply->Unwritten() > kMostUnreadBytes) {
     this->slowed = true;
     this->state.parts.client.Pause(this->exchange, true);
   }
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -74,6 +74,13 @@
          aNow - this->storeLostSince > kStoreAwayAfter;
 }
 
+bool
+GatewayState::Ready(TimePoint aNow) const
+{
+  return !this->draining && this->endpointsKnown && this->CatalogFresh(aNow) &&
+         !this->StoreAway(aNow);
+}
+
 void
 GatewayState::UpdateDispatcher()
 {
@@ -140,6 +147,8 @@
     HostReport told;
     told.storeLost = this->state.StoreAway(now) || this->state.draining ||
                      this->state.persistentLog.Away(now);
+    told.ready = this->state.Ready(now) && !this->state.persistentLog.Away(now);
+    told.callAddress = this->state.settings.callAddress;
     told.host = this->state.settings.host;
     told.started = this->state.settings.started;
     told.endpointCalls = this->state.dispatcher.OwnLoads();
@@ -181,6 +190,7 @@
   void OnReport(const HostReport& aReport)
   {
     const TimePoint now = BootNow();
+    this->state.peers.Heard(aReport, now);
     this->state.dispatcher.PeerLoads(aReport.host, aReport.endpointCalls, now);
     QuotaReports uses;
     for (const auto& entry : aReport.organisations) {
@@ -360,10 +370,7 @@
 bool
 Gateway::Ready() const
 {
-  const GatewayState& state = this->impl->state;
-  const TimePoint now = BootNow();
-  return !state.draining && state.endpointsKnown && state.CatalogFresh(now) &&
-         !state.StoreAway(now);
+  return this->impl->state.Ready(BootNow());
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -12,6 +12,10 @@
 //   read -> route -> key -> quota -> history -> budget -> place -> send ->
 //   relay
 //
+// A call that this host can't judge or serve, since it has lost the store or
+// knows no endpoint, is passed on once to a peer that can; see
+// forwarded_call.h.
+//
 // One loop runs everything; there are no locks. Invariants:
 //  - a call that may not be repeated is sent at most once after which it can
 //    have run;
@@ -45,6 +49,8 @@
 {
   std::string host;
   std::string zone;
+  // Where it takes calls, as IP:PORT.
+  std::string callAddress;
   // Milliseconds since the epoch at which this process started.
   uint64_t started = 0;
   // The whole fleet starts for the first time.
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -10,12 +10,16 @@
 #include <unordered_map>
 
 #include "gateway/gateway.h"
+#include "gateway/peer_table.h"
 #include "gateway/turn_budgets.h"
 
 namespace tanagerseam {
 
 class CallFlow;
 
+// Bytes that a client may leave unread before its endpoint is read no further.
+constexpr size_t kMostUnreadBytes = 256u << 10;
+
 struct GatewayState
 {
   GatewayState(GatewaySettings aSettings, GatewayParts aParts);
@@ -27,6 +31,8 @@
   void UpdateDispatcher();
   // The store has not answered for some time.
   bool StoreAway(TimePoint aNow) const;
+  // Calls can be judged and served here.
+  bool Ready(TimePoint aNow) const;
   // Sends the calls that waited and can go now.
   void SendWaiting();
 
@@ -45,6 +51,7 @@
   BudgetService budgets;
   TurnBudgets turnBudgets;
   HistoryService history;
+  PeerTable peers;
   // Calls that wait for an endpoint or have one, by their number.
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
   uint64_t nextCall = 1;
--- a/gateway/testing/gateway_test.cc
+++ b/gateway/testing/gateway_test.cc
@@ -41,8 +41,8 @@
               RecordLog& aLog,
               const std::string& aName)
     : client(aIo, EventClientSettings{})
-    , link(aIo, { aName, 1, "127.0.0.1", 0 })
-    , gateway(SettingsOf(aName),
+    , link(aIo, { aName, 1, "127.0.0.1", this->linkPort })
+    , gateway(SettingsOf(aName, this->port),
               GatewayParts{ aIo, client, dialect, aLog, link, metrics })
   {
     EventServerSettings settings;
@@ -58,10 +58,11 @@
     aIo.run_for(Millis(5));
   }
 
-  static GatewaySettings SettingsOf(const std::string& aName)
+  static GatewaySettings SettingsOf(const std::string& aName, uint16_t aPort)
   {
     GatewaySettings settings;
     settings.host = aName;
+    settings.callAddress = "127.0.0.1:" + std::to_string(aPort);
     settings.zone = "zone-a";
     settings.started = 1;
     settings.freshStart = true;
@@ -96,7 +97,13 @@
     this->gateway.EndpointsConfirmed();
   }
 
+  FleetMember Member(const std::string& aName) const
+  {
+    return { aName, "127.0.0.1", this->linkPort };
+  }
+
   uint16_t port = FreePort();
+  uint16_t linkPort = FreePort();
   Metrics metrics;
   EventClient client;
   PlatformDialect dialect;
@@ -538,6 +545,152 @@
   EXPECT_TRUE(this->Until([&client] { return IsWhole(client.Received()); }));
 }
 
+// Two hosts, of which the first has not read any configuration.
+class ForwardStory : public GatewayStory
+{
+protected:
+  void SetUp() override
+  {
+    const std::vector<FleetMember> members = { this->host.Member("host-1"),
+                                               this->peer.Member("host-2") };
+    this->host.gateway.SetMembers(members);
+    this->peer.gateway.SetMembers(members);
+  }
+
+  // Both hosts have told each other what they can do.
+  void Exchange()
+  {
+    const TimePoint end = BootNow() + 3 * Gateway::kReportEvery;
+    this->Until([end] { return BootNow() > end; });
+  }
+
+  GatewayHost peer{ io, log, "host-2" };
+};
+
+TEST_F(ForwardStory, AHostThatCannotJudgeACallPassesItOn)
+{
+  RawEndpoint tool(this->io, [](const std::string& aRequest) {
+    return RawAction{ Answer(aRequest, "done") };
+  });
+  this->peer.Configure();
+  this->peer.Add("t-1", "tools", tool.Address());
+  this->Exchange();
+  const std::string answer =
+    this->Ask(this->host,
+              this->Request(
+                "POST", "/charge/1", "r-1", "hello", "X-Affinity-Key: a\r\n"));
+  EXPECT_EQ(StatusOf(answer), 200);
+  EXPECT_EQ(BodyOf(answer), "done");
+  EXPECT_NE(answer.find("X-Server-Seal: seal"), std::string::npos);
+  ASSERT_EQ(tool.requests.size(), 1u);
+  const std::string& seen = tool.requests[0];
+  EXPECT_EQ(BodyOf(seen), "hello");
+  EXPECT_NE(seen.find("X-Request-Id: r-1"), std::string::npos);
+  EXPECT_NE(seen.find("X-Affinity-Key: a"), std::string::npos);
+  {
+    SCOPED_TRACE("neither the key nor the way through the fleet is told");
+    EXPECT_EQ(seen.find("key-1"), std::string::npos);
+    EXPECT_EQ(seen.find("Forwarded"), std::string::npos);
+  }
+  {
+    SCOPED_TRACE("the peer's refusals are the host's refusals");
+    EXPECT_EQ(StatusOf(this->Ask(this->host, this->Request("GET", "/x/", "r"))),
+              404);
+  }
+}
+
+TEST_F(ForwardStory, EventsPassThroughBothHostsAsTheyCome)
+{
+  RawEndpoint slow(this->io, [](const std::string& aRequest) {
+    RawAction action;
+    action.bytes = StreamHead(aRequest) + Chunk("id: 1\ndata: one\n\n");
+    action.pause = Millis(400);
+    action.later = Chunk("id: 2\ndata: two\n\n") + "0\r\n\r\n";
+    return action;
+  });
+  this->peer.Configure();
+  this->peer.Add("e-1", "engines", slow.Address());
+  this->Exchange();
+  RawClient client(this->io, this->host.port);
+  const TimePoint begun = BootNow();
+  client.Send(this->Turn("t-1", "", "x"));
+  EXPECT_TRUE(this->Until([&client] {
+    return client.Received().find("data: one") != std::string::npos;
+  }));
+  EXPECT_LT(BootNow() - begun, Millis(300));
+  EXPECT_TRUE(this->Until([&client] { return IsWhole(client.Received()); }));
+  {
+    SCOPED_TRACE("and the turn is kept");
+    EXPECT_EQ(StatusOf(this->Ask(this->peer, this->Turn("t-2", "t-1", "y"))),
+              200);
+    ASSERT_EQ(slow.requests.size(), 2u);
+    EXPECT_EQ(BodyOf(slow.requests[1]), "xone\ntwo\ny");
+  }
+}
+
+TEST_F(ForwardStory, ACallIsPassedOnOnceAtMost)
+{
+  // Both believe that the other one can serve, and neither can any more.
+  this->host.Configure();
+  this->peer.Configure();
+  this->host.gateway.EndpointsConfirmed();
+  this->peer.gateway.EndpointsConfirmed();
+  this->Exchange();
+  EXPECT_EQ(StatusOf(this->Ask(this->host,
+                               this->Request("POST", "/charge/1", "r-1", "x"))),
+            503);
+  const std::string counts =
+    this->host.metrics.Text() + this->peer.metrics.Text();
+  const std::string name = "tanagerseam_forwarded_total{";
+  const size_t first = counts.find(name);
+  ASSERT_NE(first, std::string::npos);
+  EXPECT_EQ(counts.find(name, first + 1), std::string::npos);
+}
+
+TEST_F(ForwardStory, WithoutAPeerTheCallIsRefusedAtOnce)
+{
+  this->Exchange();
+  const TimePoint begun = BootNow();
+  EXPECT_EQ(StatusOf(this->Ask(this->host,
+                               this->Request("POST", "/charge/1", "r-1", "x"))),
+            503);
+  EXPECT_LT(BootNow() - begun, Millis(200));
+}
+
+TEST_F(ForwardStory, AClientThatLeavesEndsTheCallAtThePeerToo)
+{
+  RawEndpoint silent(this->io, [](const std::string&) {
+    RawAction action;
+    action.pause = Millis(5000);
+    action.later = "x";
+    return action;
+  });
+  this->peer.Configure();
+  this->peer.Add("t-1", "tools", silent.Address());
+  this->Exchange();
+  {
+    RawClient client(this->io, this->host.port);
+    client.Send(this->Request("GET", "/look/1", "r-1"));
+    EXPECT_TRUE(this->Until([&silent] { return silent.requests.size() == 1; }));
+  }
+  EXPECT_TRUE(this->Until([&silent] { return silent.abandoned == 1; }));
+}
+
+TEST_F(ForwardStory, ACallWhoseOutcomeThePeerLeavesOpenIsNotCalledNotRun)
+{
+  RawEndpoint broken(this->io, [](const std::string&) {
+    RawAction action;
+    action.reset = true;
+    return action;
+  });
+  this->peer.Configure();
+  this->peer.Add("t-1", "tools", broken.Address());
+  this->Exchange();
+  EXPECT_EQ(StatusOf(this->Ask(this->host,
+                               this->Request("POST", "/charge/1", "r-1", "x"))),
+            502);
+}
+
 // Requests whose framing can be read in two ways reach no endpoint.
 TEST_F(GatewayStory, SmuggledRequestsReachNoEndpoint)
 {
