Quota: half of the slack widens the burst; programs begin above a higher floor, calls under way go below

QuotaSlack (window, overage, tolerance) from the settings; half of it is added to the burst. Calls of programs under way are admitted down to 0.05 of the burst, new programs above 0.45: whole programs are told to come back, rather than those under way. NextAfter, which nothing called, is gone.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -140,6 +140,7 @@
     settings.started = aStarted;
     settings.freshStart = aSettings.freshStart;
     settings.keyFreshness = aSettings.keyFreshness;
+    settings.quotaSlack = aSettings.quotaSlack;
     settings.logParts = aSettings.storeParts;
     return settings;
   }
--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -1,5 +1,7 @@
 #include "daemon/gateway_settings.h"
 
+#include <cmath>
+
 #include "settings/settings.h"
 
 namespace tanagerseam {
@@ -8,6 +10,10 @@
 
 constexpr int64_t kLongestMillis = 600000;
 constexpr int64_t kMostParts = 10000;
+// As a part of a cap.
+constexpr double kMostOverage = 10;
+// In calls.
+constexpr double kMostTolerance = 1000000;
 
 std::string
 AddressOf(SectionReader& aReader, const std::string& aKey)
@@ -24,6 +30,32 @@
   return Millis(aReader.Integer(aKey, aDefault.count(), 0, kLongestMillis));
 }
 
+// A time that the file names in seconds, with fractions.
+Millis
+SecondsOf(SectionReader& aReader,
+          const std::string& aKey,
+          Millis aDefault,
+          double aLeastSeconds)
+{
+  const double seconds =
+    aReader.Real(aKey,
+                 std::chrono::duration<double>(aDefault).count(),
+                 aLeastSeconds,
+                 std::chrono::duration<double>(Millis(kLongestMillis)).count());
+  return Millis(std::llround(seconds * 1000));
+}
+
+QuotaSlack
+ReadQuotaSlack(SectionReader& aReader)
+{
+  QuotaSlack slack;
+  slack.window = SecondsOf(aReader, "quota_window_s", slack.window, 0);
+  slack.overage = aReader.Real("quota_overage", slack.overage, 0, kMostOverage);
+  slack.tolerance =
+    aReader.Real("quota_tolerance", slack.tolerance, 0, kMostTolerance);
+  return slack;
+}
+
 void
 ReadGateway(SectionReader& aReader, GatewayProcessSettings& aOut)
 {
@@ -39,12 +71,9 @@
   aOut.keyFreshness = MillisOf(aReader, "key_freshness_ms", aOut.keyFreshness);
   aOut.shutdownNotice =
     MillisOf(aReader, "shutdown_notice_ms", aOut.shutdownNotice);
-  const double shutdownSeconds =
-    aReader.Real("shutdown_limit_s",
-                 static_cast<double>(aOut.shutdownLimit.count()) / 1000,
-                 0.1,
-                 static_cast<double>(kLongestMillis) / 1000);
-  aOut.shutdownLimit = Millis(static_cast<int64_t>(shutdownSeconds * 1000));
+  aOut.shutdownLimit =
+    SecondsOf(aReader, "shutdown_limit_s", aOut.shutdownLimit, 0.1);
+  aOut.quotaSlack = ReadQuotaSlack(aReader);
 }
 
 void
--- a/daemon/gateway_settings.h
+++ b/daemon/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "kernel/kernel.h"
+#include "quota/quota.h"
 
 namespace tanagerseam {
 
@@ -24,6 +25,8 @@
   bool freshStart = false;
   // How long a withdrawn key may still be honoured.
   Millis keyFreshness{ 5000 };
+  // What organisations may use beyond their caps.
+  QuotaSlack quotaSlack;
   // From SIGTERM until the process is killed.
   Millis shutdownLimit{ 8000 };
   // From SIGTERM until clients have moved to other hosts.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -39,7 +39,9 @@
   : settings(std::move(aSettings))
   , parts(aParts)
   , dispatcher(DispatchSettingsOf(this->settings))
-  , quota(this->settings.host, this->settings.started)
+  , quota(this->settings.host,
+          this->settings.started,
+          this->settings.quotaSlack)
   , persistentLog(aParts.io, aParts.log)
   , budgets(this->persistentLog, ProgramSettingsOf(this->settings))
   , turnBudgets(this->settings.host,
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -59,6 +59,8 @@
   Millis keyFreshness{ 5000 };
   // Subtracted from keyFreshness for what clocks and timers lack in precision.
   Millis keyFreshnessMargin{ 700 };
+  // What organisations may use beyond their caps.
+  QuotaSlack quotaSlack;
   // Partitions of one topic of the log.
   int logParts = 12;
 };
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -8,10 +8,12 @@
 
 namespace {
 
+// Part of the slack that is added to the burst.
+constexpr double kUsedSlack = 0.5;
 // Part of the burst below which hosts keep to their own parts of the rate.
-constexpr double kPoolFloor = 0.15;
+constexpr double kPoolFloor = 0.05;
 // Of the pool, the part that must be left for a program to begin.
-constexpr double kBeginFloor = 0.25;
+constexpr double kBeginFloor = 0.45;
 // A pool filled above this part is not being used.
 constexpr double kIdlePool = 0.75;
 // Of the burst, the most that a new program must find free in the promises.
@@ -43,9 +45,12 @@
 
 } // namespace
 
-FleetQuota::FleetQuota(std::string aOwnHost, uint64_t aStarted)
+FleetQuota::FleetQuota(std::string aOwnHost,
+                       uint64_t aStarted,
+                       QuotaSlack aSlack)
   : ownHost(std::move(aOwnHost))
   , started(aStarted)
+  , slack(aSlack)
   , members{ this->ownHost }
 {
 }
@@ -58,12 +63,23 @@
   this->members.assign(hosts.begin(), hosts.end());
 }
 
+double
+FleetQuota::WidenedBurst(QuotaCap aCap) const
+{
+  const double seconds =
+    std::chrono::duration<double>(this->slack.window).count();
+  const double inWindow = aCap.ratePerSecond * seconds + aCap.burst;
+  return aCap.burst +
+         kUsedSlack * (inWindow * this->slack.overage + this->slack.tolerance);
+}
+
 void
 FleetQuota::SetCap(const std::string& aOrganisation,
                    QuotaCap aCap,
                    bool aFull,
                    TimePoint aNow)
 {
+  aCap.burst = this->WidenedBurst(aCap);
   const bool isNew = this->buckets.count(aOrganisation) == 0;
   Bucket& bucket = this->buckets[aOrganisation];
   if (isNew) {
@@ -287,20 +303,6 @@
   found->second.pool += 1;
 }
 
-Millis
-FleetQuota::NextAfter(const std::string& aOrganisation, Millis aMost) const
-{
-  auto found = this->buckets.find(aOrganisation);
-  if (found == this->buckets.end() || found->second.cap.ratePerSecond <= 0) {
-    return Millis(0);
-  }
-  const Bucket& bucket = found->second;
-  const double missing = bucket.cap.burst * kBeginFloor - bucket.pool;
-  const double seconds =
-    std::max(0.0, missing) / std::max(1.0, bucket.cap.ratePerSecond);
-  return std::min(aMost, Millis(static_cast<int64_t>(seconds * 1000)));
-}
-
 QuotaReports
 FleetQuota::OwnReports(TimePoint aNow) const
 {
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -1,7 +1,7 @@
 // Rate and burst of each organisation over the whole fleet, without a
 // coordinator.
 //
-//   FleetQuota quota("host-1", started);
+//   FleetQuota quota("host-1", started, { Millis(5000), 0.1, 20 });
 //   quota.SetMembers({ "host-1", "host-2" });
 //   quota.SetCap("ski-club", { 155, 155 }, false, now);
 //   quota.PeerReport("host-2", started2, { { "ski-club", { 40, 1200 } } },
@@ -26,6 +26,12 @@
 // use an equal part of rate and burst, and those that hear each other share the
 // rest. So each side of a partition stays within its own part.
 //
+// Slack: the bound on what an organisation uses in a window leaves room beyond
+// rate x window + burst for hosts that hear each other late. Half of it is
+// added to the burst, so that calls within the cap aren't refused for the
+// fleet's delays; the other half stays for what hosts admit without knowing of
+// it.
+//
 // Programs are let in whole: a new one is set aside as many calls as programs
 // of its organisation have needed so far, out of a second bucket of the same
 // rate and burst, the promises. So those that are let in can run to their end,
@@ -52,6 +58,15 @@
   double burst = 0;
 };
 
+// In any window an organisation may use
+// (rate x window + burst) x (1 + overage) + tolerance calls.
+struct QuotaSlack
+{
+  Millis window{ 0 };
+  double overage = 0;
+  double tolerance = 0;
+};
+
 // What one host says of one organisation.
 struct QuotaReport
 {
@@ -87,7 +102,7 @@
   // The time over which demand is averaged.
   static constexpr Millis kDemandWindow{ 1000 };
 
-  FleetQuota(std::string aOwnHost, uint64_t aStarted);
+  FleetQuota(std::string aOwnHost, uint64_t aStarted, QuotaSlack aSlack);
 
   // All members of the fleet, with or without this host.
   void SetMembers(const std::vector<std::string>& aHosts);
@@ -110,8 +125,6 @@
   bool Begin(const std::string& aOrganisation, TimePoint aNow);
   // Gives back a call that did not run.
   void Return(const std::string& aOrganisation);
-  // Time until a call more can be admitted; at most aMost.
-  Millis NextAfter(const std::string& aOrganisation, Millis aMost) const;
   QuotaReports OwnReports(TimePoint aNow) const;
   QuotaView View(const std::string& aOrganisation, TimePoint aNow) const;
   // Members that were heard of lately, with this host.
@@ -146,6 +159,8 @@
     TimePoint heardAt{};
   };
 
+  // The burst with its part of the slack.
+  double WidenedBurst(QuotaCap aCap) const;
   static double CallsPerProgram(const Bucket& aBucket);
   static void Count(Bucket& aBucket, double aAdmitted, double aBegun);
   void Fill(const std::string& aName, Bucket& aBucket, TimePoint aNow);
@@ -159,6 +174,7 @@
 
   std::string ownHost;
   uint64_t started;
+  QuotaSlack slack;
   std::vector<std::string> members;
   std::unordered_map<std::string, Peer> peers;
   std::unordered_map<std::string, Bucket> buckets;
