--- a/tests/integration/gateway_fleet_test.cc
+++ b/tests/integration/gateway_fleet_test.cc
@@ -4,19 +4,19 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
-#include <fstream>
 
 #include "gateway/testing/raw_peer.h"
-#include "tests/support/child_process.h"
+#include "tests/support/gateway_host.h"
 #include "tests/support/store_standin.h"
 
 namespace tanagerseam {
 namespace {
 
-using testing_support::ChildProcess;
-using testing_support::FreePort;
+using testing_support::ConfigurationText;
+using testing_support::EndpointText;
+using testing_support::GatewayHost;
+using testing_support::GatewayHostSettings;
 using testing_support::IsWhole;
-using testing_support::LoopbackAddress;
 using testing_support::RawAction;
 using testing_support::RawClient;
 using testing_support::RawEndpoint;
@@ -54,15 +54,6 @@
   return action;
 }
 
-// One gateway process.
-struct Host
-{
-  uint16_t calls = FreePort();
-  uint16_t ready = FreePort();
-  std::string ini;
-  std::unique_ptr<ChildProcess> process;
-};
-
 class GatewayFleet : public ::testing::Test
 {
 protected:
@@ -75,87 +66,41 @@
     this->Register("e-1", "engines", "ready");
     this->Register("t-1", "tools", "ready");
     for (size_t i = 0; i < this->hosts.size(); ++i) {
-      this->WriteSettings(this->hosts[i], "host-" + std::to_string(i));
-      this->StartHost(i);
+      this->hosts[i] = std::make_unique<GatewayHost>(
+        GatewayHostSettings{ this->folder,
+                             "host-" + std::to_string(i),
+                             this->store.Address(),
+                             kFreshness });
+      this->hosts[i]->Start();
     }
     ASSERT_TRUE(this->Until([this] { return this->AllReady(); }));
   }
 
   void TearDown() override
   {
-    for (Host& host : this->hosts) {
-      if (this->HasFailure() && host.process) {
-        std::cout << host.process->LogTail() << "\n";
+    for (auto& host : this->hosts) {
+      if (this->HasFailure() && host) {
+        std::cout << host->process->LogTail() << "\n";
       }
-      host.process.reset();
+      host.reset();
     }
     std::filesystem::remove_all(this->folder);
   }
 
-  void WriteSettings(Host& aHost, const std::string& aName)
-  {
-    aHost.ini = (this->folder / (aName + ".ini")).string();
-    std::ofstream file(aHost.ini);
-    file << "[gateway]\nhost = " << aName << "\nzone = zone-a\n"
-         << "call_address = " << LoopbackAddress(aHost.calls) << "\n"
-         << "ready_address = " << LoopbackAddress(aHost.ready) << "\n"
-         << "metrics_address = " << LoopbackAddress(FreePort()) << "\n"
-         << "exchange_address = " << LoopbackAddress(FreePort()) << "\n"
-         << "fresh_start = true\nshutdown_notice_ms = 300\n"
-         << "key_freshness_ms = " << kFreshness.count() << "\n"
-         << "[platform]\nstore_address = " << this->store.Address() << "\n";
-  }
-
-  void StartHost(size_t aHost)
-  {
-    Host& host = this->hosts[aHost];
-    host.process = std::make_unique<ChildProcess>(
-      testing_support::ProgramPath("tanagerseamd"),
-      std::vector<std::string>{ "--config=" + host.ini },
-      (this->folder / ("host-" + std::to_string(aHost) + ".log")).string());
-  }
-
   void Configure(int aVersion, const std::string& aKey)
   {
-    const nlohmann::json turn = {
-      { "name", "ask" },          { "host", "reports.example" },
-      { "path-prefix", "/ask/" }, { "kind", "streaming" },
-      { "timeout-ms", 2000 },     { "service", "engines" },
-      { "max-attempts", 1 },      { "retain-history", true },
-      { "retention-s", 60.0 }
-    };
-    const nlohmann::json look = {
-      { "name", "look" },          { "host", "reports.example" },
-      { "path-prefix", "/look/" }, { "kind", "idempotent" },
-      { "timeout-ms", 2000 },      { "service", "tools" },
-      { "max-attempts", 2 }
-    };
-    const nlohmann::json content = {
-      { "version", aVersion },
-      { "routes", { turn, look } },
-      { "services",
-        { { { "name", "engines" }, { "engine", { { "event-tokens", 10 } } } },
-          { { "name", "tools" } } } },
-      { "tenants",
-        { { { "name", "club" },
-            { "api-keys", { aKey } },
-            { "per-s", 500 },
-            { "burst", 500 } } } }
-    };
-    this->store.PutKeyed("keyed.op", "config", content.dump());
+    this->store.PutKeyed(
+      "keyed.op", "config", ConfigurationText(aVersion, { { "club", aKey } }));
   }
 
   void Register(const std::string& aId,
                 const std::string& aService,
                 const std::string& aState)
   {
-    const nlohmann::json entry = {
-      { "service", aService }, { "address", this->endpoint.Address() },
-      { "zone", "zone-a" },    { "slots", 8 },
-      { "state", aState },     { "cold-left-ms", 0 },
-      { "sequence", 1 }
-    };
-    this->store.PutKeyed("keyed.servers", aId, entry.dump());
+    this->store.PutKeyed(
+      "keyed.servers",
+      aId,
+      EndpointText(aService, this->endpoint.Address(), aState));
   }
 
   bool Until(const std::function<bool()>& aDone, Millis aLimit = Millis(10000))
@@ -191,7 +136,7 @@
   int Look(size_t aHost, const std::string& aPath = "/look/1")
   {
     return StatusOf(this->Ask(
-      this->hosts[aHost].calls,
+      this->hosts[aHost]->calls,
       "GET " + aPath + " HTTP/1.1\r\nHost: reports.example\r\nX-Request-Id: r" +
         std::to_string(this->nextId++) +
         "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer key-1\r\n\r\n"));
@@ -207,13 +152,13 @@
     if (!aPrevious.empty()) {
       request += "X-Previous-Turn: " + aPrevious + "\r\n";
     }
-    return StatusOf(this->Ask(this->hosts[aHost].calls,
+    return StatusOf(this->Ask(this->hosts[aHost]->calls,
                               request + "Content-Length: 5\r\n\r\ninput"));
   }
 
   bool Ready(size_t aHost)
   {
-    return StatusOf(this->Ask(this->hosts[aHost].ready,
+    return StatusOf(this->Ask(this->hosts[aHost]->ready,
                               "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")) == 200;
   }
 
@@ -230,7 +175,7 @@
   std::filesystem::path folder;
   StoreStandin store{ io };
   RawEndpoint endpoint{ io, AnswerAs };
-  std::array<Host, 2> hosts;
+  std::array<std::unique_ptr<GatewayHost>, 2> hosts;
   int nextId = 0;
 };
 
@@ -239,8 +184,8 @@
   EXPECT_EQ(this->Turn(0, "t-1", ""), 200);
   EXPECT_EQ(this->Turn(1, "t-2", "t-1"), 200);
   for (size_t i = 0; i < this->hosts.size(); ++i) {
-    this->hosts[i].process->Kill();
-    this->StartHost(i);
+    this->hosts[i]->process->Kill();
+    this->hosts[i]->Start();
   }
   ASSERT_TRUE(this->Until([this] { return this->AllReady(); }));
   EXPECT_EQ(this->Turn(0, "t-3", "t-2"), 200);
@@ -275,7 +220,7 @@
 TEST_F(GatewayFleet, ALostAnswerOfTheStoreLosesNoTurn)
 {
   this->store.SetFault(StoreFault::kLosesAppends);
-  RawClient client(this->io, this->hosts[0].calls);
+  RawClient client(this->io, this->hosts[0]->calls);
   client.Send("POST /ask/1 HTTP/1.1\r\nHost: reports.example\r\n"
               "X-Request-Id: t-1\r\nX-Deadline-Ms: 1500\r\n"
               "Authorization: Bearer key-1\r\nX-Program-Id: p\r\n"
@@ -318,19 +263,19 @@
 
 TEST_F(GatewayFleet, AGracefulShutdownCutsNoCall)
 {
-  RawClient client(this->io, this->hosts[0].calls);
+  RawClient client(this->io, this->hosts[0]->calls);
   client.Send("GET /look/slow HTTP/1.1\r\nHost: reports.example\r\n"
               "X-Request-Id: r\r\nX-Deadline-Ms: 1500\r\n"
               "Authorization: Bearer key-1\r\n\r\n");
   this->Until([this] { return !this->endpoint.requests.empty(); });
-  this->hosts[0].process->Terminate();
+  this->hosts[0]->process->Terminate();
   EXPECT_TRUE(this->Until([this] { return !this->Ready(0); }, Millis(1000)));
   EXPECT_EQ(this->Look(0), 200) << "clients that still come are served";
   EXPECT_TRUE(this->Until([&client] { return IsWhole(client.Received()); }));
   EXPECT_NE(client.Received().find("Connection: close"), std::string::npos);
   std::optional<int> exited;
   this->Until([this, &exited] {
-    exited = this->hosts[0].process->Wait(Millis(0));
+    exited = this->hosts[0]->process->Wait(Millis(0));
     return exited.has_value();
   });
   EXPECT_EQ(exited, 0);
