Reports of 8 and 40 bytes an entry; endpoints of the own zone first; endpoints read each 700 ms

Reports carry hashes in structs; HostReport uses the types of quota and dispatch, so that the two types with the same four fields are one. All hosts of a zone expect a program at the same endpoint of their zone, and one of the two drawn endpoints is of the own zone. The dispatcher learns of expired endpoints once for all of them.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -22,7 +22,7 @@
 constexpr Millis kLongestConfirmWait(1000);
 constexpr int kConfirmsInFreshness = 6;
 constexpr Millis kServersWait(1500);
-constexpr Millis kServersSpacing(300);
+constexpr Millis kServersSpacing(700);
 constexpr Millis kMembersSpacing(2000);
 constexpr Millis kAnnounceEvery(4000);
 constexpr Millis kAnnounceTimeout(1500);
--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <tuple>
 
-#include "kernel/digest.h"
-
 namespace tanagerseam {
 
 namespace {
@@ -60,6 +58,7 @@
   for (const DispatchEndpoint& endpoint : aEndpoints) {
     State& state = this->states[endpoint.id];
     state.endpoint = endpoint;
+    state.tag = EndpointTag(endpoint.id);
     state.service = aService;
     state.takesCalls = true;
   }
@@ -78,7 +77,7 @@
     if (aNow - peer.second.at > kReportLife) {
       continue;
     }
-    auto load = peer.second.loads.find(aState.endpoint.id);
+    auto load = peer.second.loads.find(aState.tag);
     reported += load == peer.second.loads.end() ? 0 : load->second;
     newest = std::max(newest, peer.second.at);
   }
@@ -99,15 +98,19 @@
 
 const Dispatcher::State*
 Dispatcher::Preferred(const std::vector<State*>& aStates,
-                      const std::string& aGroup)
+                      const std::string& aGroup) const
 {
+  if (aGroup.empty()) {
+    return nullptr;
+  }
+  const auto rank = [this, &aGroup](const State* aState) {
+    return std::make_pair(this->IsNear(*aState),
+                          StableHash(aGroup + "@" + aState->endpoint.id));
+  };
   const State* preferred = nullptr;
-  uint64_t highest = 0;
   for (const State* state : aStates) {
-    const uint64_t hash = StableHash(aGroup + "@" + state->endpoint.id);
-    if (!aGroup.empty() && (preferred == nullptr || hash > highest)) {
+    if (preferred == nullptr || rank(state) > rank(preferred)) {
       preferred = state;
-      highest = hash;
     }
   }
   return preferred;
@@ -155,8 +158,7 @@
   const double heldUp = this->settings.batchDelay * std::min(load, slots);
   const double prefill =
     unread / this->settings.prefillTokensPerMilli * (1 + heldUp);
-  const bool near = aState.endpoint.zone == this->settings.zone;
-  const double way = near ? 0 : this->settings.crossZoneMillis;
+  const double way = this->IsNear(aState) ? 0 : this->settings.crossZoneMillis;
   return work * shared + wait + prefill + way;
 }
 
@@ -182,32 +184,41 @@
 }
 
 std::vector<Dispatcher::State*>
-Dispatcher::Draw(std::vector<State*> aStates,
+Dispatcher::Draw(const std::vector<State*>& aStates,
                  const State* aPreferred,
                  uint64_t aWorkId) const
 {
   const std::string salt =
     this->settings.host + "/" + std::to_string(aWorkId) + "/";
-  const auto rank = [&salt, aPreferred](const State* aState) {
-    return aState == aPreferred ? 0 : StableHash(salt + aState->endpoint.id);
-  };
-  std::sort(aStates.begin(),
-            aStates.end(),
-            [&rank](const State* aLeft, const State* aRight) {
-              return rank(aLeft) < rank(aRight);
-            });
-  const size_t most = this->settings.drawnEndpoints + 1;
-  if (aStates.size() > most) {
-    aStates.resize(most);
-  }
-  return aStates;
+  std::vector<std::pair<uint64_t, State*>> ranked;
+  std::vector<State*> drawn;
+  for (State* state : aStates) {
+    if (state == aPreferred) {
+      drawn.push_back(state);
+    } else {
+      ranked.emplace_back(StableHash(salt + state->endpoint.id), state);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const auto near =
+    std::find_if(ranked.begin(), ranked.end(), [this](const auto& aEntry) {
+      return this->IsNear(*aEntry.second);
+    });
+  if (near != ranked.end()) {
+    std::rotate(ranked.begin(), near, near + 1);
+  }
+  for (size_t i = 0; i < std::min(ranked.size(), this->settings.drawnEndpoints);
+       ++i) {
+    drawn.push_back(ranked[i].second);
+  }
+  return drawn;
 }
 
 std::optional<Dispatcher::Choice>
 Dispatcher::Choose(const DispatchWork& aWork, double aFill, TimePoint aNow)
 {
   const auto candidates = this->Candidates(aWork, aNow);
-  const State* preferred = Preferred(candidates, aWork.group);
+  const State* preferred = this->Preferred(candidates, aWork.group);
   std::vector<State*> roomy;
   for (State* state : candidates) {
     if (this->Load(*state, aNow) < aFill * state->endpoint.slots) {
@@ -215,7 +226,7 @@
     }
   }
   std::optional<Choice> best;
-  for (State* state : this->Draw(std::move(roomy), preferred, aWork.id)) {
+  for (State* state : this->Draw(roomy, preferred, aWork.id)) {
     const double millis =
       this->Expected(*state, aWork, state == preferred, aNow);
     if (!best || millis < best->expectedMillis) {
@@ -404,7 +415,7 @@
 
 void
 Dispatcher::PeerLoads(const std::string& aHost,
-                      std::unordered_map<std::string, int> aLoads,
+                      EndpointLoads aLoads,
                       TimePoint aNow)
 {
   this->peers[aHost] = { std::move(aLoads), aNow };
@@ -423,13 +434,13 @@
   }
 }
 
-std::unordered_map<std::string, int>
+EndpointLoads
 Dispatcher::OwnLoads() const
 {
-  std::unordered_map<std::string, int> loads;
+  EndpointLoads loads;
   for (const auto& entry : this->states) {
     if (entry.second.own > 0) {
-      loads[entry.first] = entry.second.own;
+      loads[entry.second.tag] = entry.second.own;
     }
   }
   return loads;
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -24,13 +24,14 @@
 // endpoint's batch, so a part that is not cached weighs more on a busy one.
 //
 // Calls of one program come in at several hosts, and no host sees what the
-// others have sent where. So all hosts expect a program's prompt at the same
-// endpoint, the one with the highest hash of program and endpoint, unless they
-// have sent it elsewhere themselves.
+// others have sent where. So all hosts of an availability zone expect a
+// program's prompt at the same endpoint of their zone, the one with the highest
+// hash of program and endpoint, unless they have sent it elsewhere themselves.
 //
 // Loads are known late, so hosts that all took the least loaded endpoint would
 // all take the same one. Each call is compared at that endpoint of its program
-// and at `drawnEndpoints` others with room, drawn by hash of host and call.
+// and at `drawnEndpoints` others with room, drawn by hash of host and call, the
+// first of them in the host's own zone if there is one with room.
 //
 // Admission: the first call of a program is refused while the service's load
 // is at its limit for this priority; calls of programs under way never are.
@@ -53,6 +54,7 @@
 #include <variant>
 #include <vector>
 
+#include "kernel/digest.h"
 #include "kernel/kernel.h"
 
 namespace tanagerseam {
@@ -65,6 +67,16 @@
   int64_t tokens = 0;
 };
 
+// The key of an endpoint in reports between hosts.
+inline uint32_t
+EndpointTag(const std::string& aId)
+{
+  return static_cast<uint32_t>(StableHash(aId));
+}
+
+// Calls under way, by the tag of the endpoint.
+using EndpointLoads = std::unordered_map<uint32_t, int>;
+
 // An endpoint, as far as choosing needs it.
 struct DispatchEndpoint
 {
@@ -198,12 +210,12 @@
   void Finished(uint64_t aWorkId, const WorkOutcome& aOutcome, TimePoint aNow);
   // What another host has under way, by endpoint.
   void PeerLoads(const std::string& aHost,
-                 std::unordered_map<std::string, int> aLoads,
+                 EndpointLoads aLoads,
                  TimePoint aNow);
   // What an endpoint said of itself: calls that run and wait.
   void EndpointLoad(const std::string& aEndpoint, int aCalls, TimePoint aNow);
   // This host's calls under way, by endpoint; for the other hosts.
-  std::unordered_map<std::string, int> OwnLoads() const;
+  EndpointLoads OwnLoads() const;
   // Calls under way at a service over its slots; 0 without endpoints.
   double ServiceLoad(const std::string& aService, TimePoint aNow) const;
   size_t WaitingCalls() const { return this->waiting.size(); }
@@ -217,6 +229,7 @@
   struct State
   {
     DispatchEndpoint endpoint;
+    uint32_t tag = 0;
     std::string service;
     bool takesCalls = true;
     int own = 0;
@@ -249,11 +262,15 @@
   };
   struct PeerReport
   {
-    std::unordered_map<std::string, int> loads;
+    EndpointLoads loads;
     TimePoint at{};
   };
 
   double OtherLoad(const State& aState, TimePoint aNow) const;
+  bool IsNear(const State& aState) const
+  {
+    return aState.endpoint.zone == this->settings.zone;
+  }
   double Load(const State& aState, TimePoint aNow) const
   {
     return aState.own + this->OtherLoad(aState, aNow);
@@ -266,12 +283,12 @@
   static int64_t UncachedTokens(const State& aState,
                                 const DispatchWork& aWork,
                                 bool aIsPreferred);
-  // Where all hosts expect what the calls of a group have in common; nothing
-  // for calls without a group.
-  static const State* Preferred(const std::vector<State*>& aStates,
-                                const std::string& aGroup);
+  // Where all hosts of this zone expect what the calls of a group have in
+  // common; nothing for calls without a group.
+  const State* Preferred(const std::vector<State*>& aStates,
+                         const std::string& aGroup) const;
   // The endpoints that are compared for a call.
-  std::vector<State*> Draw(std::vector<State*> aStates,
+  std::vector<State*> Draw(const std::vector<State*>& aStates,
                            const State* aPreferred,
                            uint64_t aWorkId) const;
   // The best endpoint with room, up to aFill times its slots.
--- a/dispatch/testing/dispatch_test.cc
+++ b/dispatch/testing/dispatch_test.cc
@@ -104,7 +104,8 @@
   this->FillAll(0);
   // Half as many again wait already.
   EXPECT_EQ(this->Offer(this->Work(false), 0), "waits");
-  this->dispatcher.PeerLoads("host-2", { { "near", 1 }, { "far", 1 } }, At(0));
+  this->dispatcher.PeerLoads(
+    "host-2", { { EndpointTag("near"), 1 }, { EndpointTag("far"), 1 } }, At(0));
   EXPECT_EQ(this->Offer(this->Work(true), 0), "refused");
   EXPECT_EQ(this->Offer(this->Work(false), 0), "waits");
 }
@@ -119,7 +120,7 @@
 
 TEST_F(DispatchStory, LoadOfOtherHostsCounts)
 {
-  this->dispatcher.PeerLoads("host-2", { { "near", 2 } }, At(0));
+  this->dispatcher.PeerLoads("host-2", { { EndpointTag("near"), 2 } }, At(0));
   EXPECT_EQ(this->Offer(this->Work(), 1), "far");
   {
     SCOPED_TRACE("until their report is old");
@@ -165,7 +166,7 @@
   DispatchWork first = this->Work();
   first.prompt = { { "history", 3000 } };
   EXPECT_EQ(this->Offer(first, 0), "near");
-  this->dispatcher.PeerLoads("host-2", { { "near", 1 } }, At(1));
+  this->dispatcher.PeerLoads("host-2", { { EndpointTag("near"), 1 } }, At(1));
   DispatchWork second = this->Work();
   second.prompt = { { "elsewhere", 3000 } };
   this->dispatcher.Finished(
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -27,7 +27,9 @@
 
 #include <restinio/asio_include.hpp>
 
+#include "dispatch/dispatch.h"
 #include "kernel/kernel.h"
+#include "quota/quota.h"
 
 namespace tanagerseam {
 
@@ -38,26 +40,14 @@
   uint16_t port = 0;
 };
 
-struct OrganisationUse
-{
-  // Calls a second that are asked.
-  double demand = 0;
-  // Calls admitted since the host's start.
-  uint64_t admitted = 0;
-  // Programs begun since then, and the calls set aside for them.
-  uint64_t begun = 0;
-  double promised = 0;
-};
-
 struct HostReport
 {
   std::string host;
   // Milliseconds since the epoch at which the process started.
   uint64_t started = 0;
   uint64_t sequence = 0;
-  // Calls under way, by endpoint.
-  std::unordered_map<std::string, int> endpointCalls;
-  std::unordered_map<std::string, OrganisationUse> organisations;
+  EndpointLoads endpointCalls;
+  QuotaReports organisations;
   // The host can't reach the platform's store, or is about to stop.
   bool storeLost = false;
   // It can judge and serve calls.
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -27,25 +27,22 @@
   table.ready = aReport.ready;
   table.call_address = aReport.callAddress;
   for (const auto& entry : aReport.endpointCalls) {
-    auto calls = std::make_unique<fleetwire::EndpointCallsT>();
-    calls->endpoint = entry.first;
-    calls->calls = static_cast<uint16_t>(entry.second);
-    table.endpoints.push_back(std::move(calls));
+    table.endpoints.emplace_back(entry.first,
+                                 static_cast<uint16_t>(entry.second));
   }
   for (const auto& entry : aReport.organisations) {
-    auto use = std::make_unique<fleetwire::OrganisationUseT>();
-    use->organisation = entry.first;
-    use->demand = static_cast<float>(entry.second.demand);
-    use->admitted = entry.second.admitted;
-    use->begun = entry.second.begun;
-    use->promised = entry.second.promised;
-    table.organisations.push_back(std::move(use));
+    const QuotaReport& use = entry.second;
+    table.organisations.emplace_back(entry.first,
+                                     use.admitted,
+                                     use.begun,
+                                     use.promised,
+                                     static_cast<float>(use.demand));
   }
   if (table.organisations.size() > FleetLink::kMaxOrganisations) {
     std::sort(table.organisations.begin(),
               table.organisations.end(),
               [](const auto& aLeft, const auto& aRight) {
-                return aLeft->demand > aRight->demand;
+                return aLeft.demand() > aRight.demand();
               });
     table.organisations.resize(FleetLink::kMaxOrganisations);
   }
@@ -64,11 +61,11 @@
   report.ready = aTable.ready;
   report.callAddress = aTable.call_address;
   for (const auto& entry : aTable.endpoints) {
-    report.endpointCalls[entry->endpoint] = entry->calls;
+    report.endpointCalls[entry.endpoint()] = entry.calls();
   }
   for (const auto& entry : aTable.organisations) {
-    report.organisations[entry->organisation] = {
-      entry->demand, entry->admitted, entry->begun, entry->promised
+    report.organisations[entry.organisation()] = {
+      entry.demand(), entry.admitted(), entry.begun(), entry.promised()
     };
   }
   return report;
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -18,12 +18,8 @@
 namespace fleetwire {
 
 struct EndpointCalls;
-struct EndpointCallsBuilder;
-struct EndpointCallsT;
 
 struct OrganisationUse;
-struct OrganisationUseBuilder;
-struct OrganisationUseT;
 
 struct LoadReport;
 struct LoadReportBuilder;
@@ -214,219 +210,98 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
-struct EndpointCallsT : public flatbuffers::NativeTable {
-  typedef EndpointCalls TableType;
-  std::string endpoint{};
-  uint16_t calls = 0;
-};
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) EndpointCalls FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint16_t calls_;
+  int16_t padding0__;
 
-struct EndpointCalls FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EndpointCallsT NativeTableType;
-  typedef EndpointCallsBuilder Builder;
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENDPOINT = 4,
-    VT_CALLS = 6
-  };
-  const flatbuffers::String *endpoint() const {
-    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
-  }
-  uint16_t calls() const {
-    return GetField<uint16_t>(VT_CALLS, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_ENDPOINT) &&
-           verifier.VerifyString(endpoint()) &&
-           VerifyField<uint16_t>(verifier, VT_CALLS, 2) &&
-           verifier.EndTable();
-  }
-  EndpointCallsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EndpointCallsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EndpointCalls> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointCallsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct EndpointCallsBuilder {
-  typedef EndpointCalls Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
-    fbb_.AddOffset(EndpointCalls::VT_ENDPOINT, endpoint);
+  EndpointCalls()
+      : endpoint_(0),
+        calls_(0),
+        padding0__(0) {
+    (void)padding0__;
   }
-  void add_calls(uint16_t calls) {
-    fbb_.AddElement<uint16_t>(EndpointCalls::VT_CALLS, calls, 0);
+  EndpointCalls(uint32_t _endpoint, uint16_t _calls)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        calls_(flatbuffers::EndianScalar(_calls)),
+        padding0__(0) {
+    (void)padding0__;
   }
-  explicit EndpointCallsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
   }
-  flatbuffers::Offset<EndpointCalls> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EndpointCalls>(end);
-    return o;
+  uint16_t calls() const {
+    return flatbuffers::EndianScalar(calls_);
   }
 };
-
-inline flatbuffers::Offset<EndpointCalls> CreateEndpointCalls(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
-    uint16_t calls = 0) {
-  EndpointCallsBuilder builder_(_fbb);
-  builder_.add_endpoint(endpoint);
-  builder_.add_calls(calls);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(EndpointCalls, 8);
 
 struct EndpointCalls::Traits {
   using type = EndpointCalls;
-  static auto constexpr Create = CreateEndpointCalls;
 };
 
-inline flatbuffers::Offset<EndpointCalls> CreateEndpointCallsDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *endpoint = nullptr,
-    uint16_t calls = 0) {
-  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
-  return tanagerseam::fleetwire::CreateEndpointCalls(
-      _fbb,
-      endpoint__,
-      calls);
-}
-
-flatbuffers::Offset<EndpointCalls> CreateEndpointCalls(flatbuffers::FlatBufferBuilder &_fbb, const EndpointCallsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) OrganisationUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t organisation_;
+  uint64_t admitted_;
+  uint64_t begun_;
+  double promised_;
+  float demand_;
+  int32_t padding0__;
 
-struct OrganisationUseT : public flatbuffers::NativeTable {
-  typedef OrganisationUse TableType;
-  std::string organisation{};
-  float demand = 0.0f;
-  uint64_t admitted = 0;
-  uint64_t begun = 0;
-  double promised = 0.0;
-};
-
-struct OrganisationUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef OrganisationUseT NativeTableType;
-  typedef OrganisationUseBuilder Builder;
+ public:
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ORGANISATION = 4,
-    VT_DEMAND = 6,
-    VT_ADMITTED = 8,
-    VT_BEGUN = 10,
-    VT_PROMISED = 12
-  };
-  const flatbuffers::String *organisation() const {
-    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
-  }
-  float demand() const {
-    return GetField<float>(VT_DEMAND, 0.0f);
+  OrganisationUse()
+      : organisation_(0),
+        admitted_(0),
+        begun_(0),
+        promised_(0),
+        demand_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  OrganisationUse(uint64_t _organisation, uint64_t _admitted, uint64_t _begun, double _promised, float _demand)
+      : organisation_(flatbuffers::EndianScalar(_organisation)),
+        admitted_(flatbuffers::EndianScalar(_admitted)),
+        begun_(flatbuffers::EndianScalar(_begun)),
+        promised_(flatbuffers::EndianScalar(_promised)),
+        demand_(flatbuffers::EndianScalar(_demand)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
   }
   uint64_t admitted() const {
-    return GetField<uint64_t>(VT_ADMITTED, 0);
+    return flatbuffers::EndianScalar(admitted_);
   }
   uint64_t begun() const {
-    return GetField<uint64_t>(VT_BEGUN, 0);
+    return flatbuffers::EndianScalar(begun_);
   }
   double promised() const {
-    return GetField<double>(VT_PROMISED, 0.0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_ORGANISATION) &&
-           verifier.VerifyString(organisation()) &&
-           VerifyField<float>(verifier, VT_DEMAND, 4) &&
-           VerifyField<uint64_t>(verifier, VT_ADMITTED, 8) &&
-           VerifyField<uint64_t>(verifier, VT_BEGUN, 8) &&
-           VerifyField<double>(verifier, VT_PROMISED, 8) &&
-           verifier.EndTable();
-  }
-  OrganisationUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(OrganisationUseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<OrganisationUse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct OrganisationUseBuilder {
-  typedef OrganisationUse Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
-    fbb_.AddOffset(OrganisationUse::VT_ORGANISATION, organisation);
-  }
-  void add_demand(float demand) {
-    fbb_.AddElement<float>(OrganisationUse::VT_DEMAND, demand, 0.0f);
-  }
-  void add_admitted(uint64_t admitted) {
-    fbb_.AddElement<uint64_t>(OrganisationUse::VT_ADMITTED, admitted, 0);
-  }
-  void add_begun(uint64_t begun) {
-    fbb_.AddElement<uint64_t>(OrganisationUse::VT_BEGUN, begun, 0);
-  }
-  void add_promised(double promised) {
-    fbb_.AddElement<double>(OrganisationUse::VT_PROMISED, promised, 0.0);
-  }
-  explicit OrganisationUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
+    return flatbuffers::EndianScalar(promised_);
   }
-  flatbuffers::Offset<OrganisationUse> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<OrganisationUse>(end);
-    return o;
+  float demand() const {
+    return flatbuffers::EndianScalar(demand_);
   }
 };
-
-inline flatbuffers::Offset<OrganisationUse> CreateOrganisationUse(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> organisation = 0,
-    float demand = 0.0f,
-    uint64_t admitted = 0,
-    uint64_t begun = 0,
-    double promised = 0.0) {
-  OrganisationUseBuilder builder_(_fbb);
-  builder_.add_promised(promised);
-  builder_.add_begun(begun);
-  builder_.add_admitted(admitted);
-  builder_.add_demand(demand);
-  builder_.add_organisation(organisation);
-  return builder_.Finish();
-}
+FLATBUFFERS_STRUCT_END(OrganisationUse, 40);
 
 struct OrganisationUse::Traits {
   using type = OrganisationUse;
-  static auto constexpr Create = CreateOrganisationUse;
 };
 
-inline flatbuffers::Offset<OrganisationUse> CreateOrganisationUseDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *organisation = nullptr,
-    float demand = 0.0f,
-    uint64_t admitted = 0,
-    uint64_t begun = 0,
-    double promised = 0.0) {
-  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
-  return tanagerseam::fleetwire::CreateOrganisationUse(
-      _fbb,
-      organisation__,
-      demand,
-      admitted,
-      begun,
-      promised);
-}
-
-flatbuffers::Offset<OrganisationUse> CreateOrganisationUse(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct LoadReportT : public flatbuffers::NativeTable {
   typedef LoadReport TableType;
   uint64_t sequence = 0;
-  std::vector<std::unique_ptr<tanagerseam::fleetwire::EndpointCallsT>> endpoints{};
-  std::vector<std::unique_ptr<tanagerseam::fleetwire::OrganisationUseT>> organisations{};
+  std::vector<tanagerseam::fleetwire::EndpointCalls> endpoints{};
+  std::vector<tanagerseam::fleetwire::OrganisationUse> organisations{};
   bool store_lost = false;
   bool ready = false;
   std::string call_address{};
-  LoadReportT() = default;
-  LoadReportT(const LoadReportT &o);
-  LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
-  LoadReportT &operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -444,11 +319,11 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> *endpoints() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> *>(VT_ENDPOINTS);
+  const flatbuffers::Vector<const tanagerseam::fleetwire::EndpointCalls *> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<const tanagerseam::fleetwire::EndpointCalls *> *>(VT_ENDPOINTS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *organisations() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *>(VT_ORGANISATIONS);
+  const flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationUse *> *organisations() const {
+    return GetPointer<const flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationUse *> *>(VT_ORGANISATIONS);
   }
   bool store_lost() const {
     return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
@@ -464,10 +339,8 @@
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyOffset(verifier, VT_ENDPOINTS) &&
            verifier.VerifyVector(endpoints()) &&
-           verifier.VerifyVectorOfTables(endpoints()) &&
            VerifyOffset(verifier, VT_ORGANISATIONS) &&
            verifier.VerifyVector(organisations()) &&
-           verifier.VerifyVectorOfTables(organisations()) &&
            VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
            VerifyField<uint8_t>(verifier, VT_READY, 1) &&
            VerifyOffset(verifier, VT_CALL_ADDRESS) &&
@@ -486,10 +359,10 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(LoadReport::VT_SEQUENCE, sequence, 0);
   }
-  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>>> endpoints) {
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::EndpointCalls *>> endpoints) {
     fbb_.AddOffset(LoadReport::VT_ENDPOINTS, endpoints);
   }
-  void add_organisations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>> organisations) {
+  void add_organisations(flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationUse *>> organisations) {
     fbb_.AddOffset(LoadReport::VT_ORGANISATIONS, organisations);
   }
   void add_store_lost(bool store_lost) {
@@ -515,8 +388,8 @@
 inline flatbuffers::Offset<LoadReport> CreateLoadReport(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>>> endpoints = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>> organisations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::EndpointCalls *>> endpoints = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationUse *>> organisations = 0,
     bool store_lost = false,
     bool ready = false,
     flatbuffers::Offset<flatbuffers::String> call_address = 0) {
@@ -538,13 +411,13 @@
 inline flatbuffers::Offset<LoadReport> CreateLoadReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
-    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> *endpoints = nullptr,
-    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> *organisations = nullptr,
+    const std::vector<tanagerseam::fleetwire::EndpointCalls> *endpoints = nullptr,
+    const std::vector<tanagerseam::fleetwire::OrganisationUse> *organisations = nullptr,
     bool store_lost = false,
     bool ready = false,
     const char *call_address = nullptr) {
-  auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>>(*endpoints) : 0;
-  auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>>(*organisations) : 0;
+  auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::EndpointCalls>(*endpoints) : 0;
+  auto organisations__ = organisations ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::OrganisationUse>(*organisations) : 0;
   auto call_address__ = call_address ? _fbb.CreateString(call_address) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
@@ -1067,94 +940,6 @@
 
 flatbuffers::Offset<Datagram> CreateDatagram(flatbuffers::FlatBufferBuilder &_fbb, const DatagramT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline EndpointCallsT *EndpointCalls::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EndpointCallsT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void EndpointCalls::UnPackTo(EndpointCallsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
-  { auto _e = calls(); _o->calls = _e; }
-}
-
-inline flatbuffers::Offset<EndpointCalls> EndpointCalls::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointCallsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEndpointCalls(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<EndpointCalls> CreateEndpointCalls(flatbuffers::FlatBufferBuilder &_fbb, const EndpointCallsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointCallsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
-  auto _calls = _o->calls;
-  return tanagerseam::fleetwire::CreateEndpointCalls(
-      _fbb,
-      _endpoint,
-      _calls);
-}
-
-inline OrganisationUseT *OrganisationUse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<OrganisationUseT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void OrganisationUse::UnPackTo(OrganisationUseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
-  { auto _e = demand(); _o->demand = _e; }
-  { auto _e = admitted(); _o->admitted = _e; }
-  { auto _e = begun(); _o->begun = _e; }
-  { auto _e = promised(); _o->promised = _e; }
-}
-
-inline flatbuffers::Offset<OrganisationUse> OrganisationUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateOrganisationUse(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<OrganisationUse> CreateOrganisationUse(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrganisationUseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
-  auto _demand = _o->demand;
-  auto _admitted = _o->admitted;
-  auto _begun = _o->begun;
-  auto _promised = _o->promised;
-  return tanagerseam::fleetwire::CreateOrganisationUse(
-      _fbb,
-      _organisation,
-      _demand,
-      _admitted,
-      _begun,
-      _promised);
-}
-
-inline LoadReportT::LoadReportT(const LoadReportT &o)
-      : sequence(o.sequence),
-        store_lost(o.store_lost),
-        ready(o.ready),
-        call_address(o.call_address) {
-  endpoints.reserve(o.endpoints.size());
-  for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new tanagerseam::fleetwire::EndpointCallsT(*endpoints_) : nullptr); }
-  organisations.reserve(o.organisations.size());
-  for (const auto &organisations_ : o.organisations) { organisations.emplace_back((organisations_) ? new tanagerseam::fleetwire::OrganisationUseT(*organisations_) : nullptr); }
-}
-
-inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(sequence, o.sequence);
-  std::swap(endpoints, o.endpoints);
-  std::swap(organisations, o.organisations);
-  std::swap(store_lost, o.store_lost);
-  std::swap(ready, o.ready);
-  std::swap(call_address, o.call_address);
-  return *this;
-}
-
 inline LoadReportT *LoadReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LoadReportT>();
   UnPackTo(_o.get(), _resolver);
@@ -1165,8 +950,8 @@
   (void)_o;
   (void)_resolver;
   { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::EndpointCallsT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = std::unique_ptr<tanagerseam::fleetwire::OrganisationUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = *_e->Get(_i); } } }
+  { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = *_e->Get(_i); } } }
   { auto _e = store_lost(); _o->store_lost = _e; }
   { auto _e = ready(); _o->ready = _e; }
   { auto _e = call_address(); if (_e) _o->call_address = _e->str(); }
@@ -1181,8 +966,8 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _sequence = _o->sequence;
-  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::EndpointCalls>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointCalls(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _organisations = _o->organisations.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::OrganisationUse>> (_o->organisations.size(), [](size_t i, _VectorArgs *__va) { return CreateOrganisationUse(*__va->__fbb, __va->__o->organisations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVectorOfStructs(_o->endpoints) : 0;
+  auto _organisations = _o->organisations.size() ? _fbb.CreateVectorOfStructs(_o->organisations) : 0;
   auto _store_lost = _o->store_lost;
   auto _ready = _o->ready;
   auto _call_address = _o->call_address.empty() ? 0 : _fbb.CreateString(_o->call_address);
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -52,8 +52,8 @@
     HostReport report;
     report.host = aHost;
     report.started = aStarted;
-    report.endpointCalls["e"] = 3;
-    report.organisations["club"] = { 4.5, 100, 7, 80 };
+    report.endpointCalls[EndpointTag("e")] = 3;
+    report.organisations[OrganisationTag("club")] = { 4.5, 100, 7, 80 };
     aLink.SendReport(report);
     this->RunFor(Millis(20));
   }
@@ -74,9 +74,11 @@
   this->Report(*this->other, "two", 1000);
   ASSERT_EQ(this->reports.size(), 1u);
   EXPECT_EQ(this->reports[0].host, "two");
-  EXPECT_EQ(this->reports[0].endpointCalls.at("e"), 3);
-  EXPECT_EQ(this->reports[0].organisations.at("club").admitted, 100u);
-  EXPECT_EQ(this->reports[0].organisations.at("club").promised, 80);
+  EXPECT_EQ(this->reports[0].endpointCalls.at(EndpointTag("e")), 3);
+  EXPECT_EQ(this->reports[0].organisations.at(OrganisationTag("club")).admitted,
+            100u);
+  EXPECT_EQ(this->reports[0].organisations.at(OrganisationTag("club")).promised,
+            80);
 }
 
 TEST_F(FleetStory, AHostThatStartsAnewIsHeardThoughItsClockWasSetBack)
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -127,8 +127,11 @@
   void Tick()
   {
     const TimePoint now = BootNow();
-    for (const std::string& id : this->state.endpoints.Expire(now)) {
+    const auto expired = this->state.endpoints.Expire(now);
+    for (const std::string& id : expired) {
       LogInfo("endpoint_removed", { { "endpoint", id }, { "why", "expired" } });
+    }
+    if (!expired.empty()) {
       this->state.UpdateDispatcher();
     }
     if (this->state.dispatcher.WaitingCalls() > 0) {
@@ -154,12 +157,7 @@
     told.host = this->state.settings.host;
     told.started = this->state.settings.started;
     told.endpointCalls = this->state.dispatcher.OwnLoads();
-    for (const auto& entry : this->state.quota.OwnReports(now)) {
-      const QuotaReport& use = entry.second;
-      told.organisations[entry.first] = {
-        use.demand, use.admitted, use.begun, use.promised
-      };
-    }
+    told.organisations = this->state.quota.OwnReports(now);
     this->state.parts.link.SendReport(std::move(told));
     this->ShowGauges(now);
     FlushLog();
@@ -194,13 +192,9 @@
     const TimePoint now = BootNow();
     this->state.peers.Heard(aReport, now);
     this->state.dispatcher.PeerLoads(aReport.host, aReport.endpointCalls, now);
-    QuotaReports uses;
-    for (const auto& entry : aReport.organisations) {
-      const OrganisationUse& use = entry.second;
-      uses[entry.first] = { use.demand, use.admitted, use.begun, use.promised };
-    }
     this->state.turnBudgets.Heard(aReport.host, !aReport.storeLost, now);
-    this->state.quota.PeerReport(aReport.host, aReport.started, uses, now);
+    this->state.quota.PeerReport(
+      aReport.host, aReport.started, aReport.organisations, now);
   }
 
   GatewayState state;
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -80,15 +80,16 @@
                    TimePoint aNow)
 {
   aCap.burst = this->WidenedBurst(aCap);
-  const bool isNew = this->buckets.count(aOrganisation) == 0;
-  Bucket& bucket = this->buckets[aOrganisation];
+  const uint64_t tag = OrganisationTag(aOrganisation);
+  const bool isNew = this->buckets.count(tag) == 0;
+  Bucket& bucket = this->buckets[tag];
   if (isNew) {
     bucket.filledAt = aNow;
     bucket.demandAt = aNow;
     bucket.pool = aFull ? aCap.burst : 0;
     bucket.promises = bucket.pool;
   } else {
-    this->Fill(aOrganisation, bucket, aNow);
+    this->Fill(tag, bucket, aNow);
   }
   bucket.cap = aCap;
   bucket.pool = std::min(bucket.pool, aCap.burst);
@@ -98,7 +99,10 @@
 void
 FleetQuota::KeepOnly(const std::vector<std::string>& aKept)
 {
-  const std::set<std::string> kept(aKept.begin(), aKept.end());
+  std::set<uint64_t> kept;
+  for (const std::string& name : aKept) {
+    kept.insert(OrganisationTag(name));
+  }
   for (auto it = this->buckets.begin(); it != this->buckets.end();) {
     it = kept.count(it->first) == 0 ? this->buckets.erase(it) : std::next(it);
   }
@@ -170,9 +174,7 @@
 }
 
 double
-FleetQuota::Part(const std::string& aName,
-                 const Bucket& aBucket,
-                 TimePoint aNow) const
+FleetQuota::Part(uint64_t aTag, const Bucket& aBucket, TimePoint aNow) const
 {
   const double heard = static_cast<double>(this->Heard(aNow));
   const double idle = aBucket.cap.ratePerSecond * kIdlePart / heard;
@@ -182,15 +184,22 @@
     if (aNow - peer.second.heardAt > kHeardWithin) {
       continue;
     }
-    auto report = peer.second.reports.find(aName);
+    auto report = peer.second.reports.find(aTag);
     asked += idle;
     asked += report == peer.second.reports.end() ? 0 : report->second.demand;
   }
   return asked > 0 ? own / asked : 1 / heard;
 }
 
+FleetQuota::Bucket*
+FleetQuota::Find(const std::string& aOrganisation)
+{
+  auto found = this->buckets.find(OrganisationTag(aOrganisation));
+  return found == this->buckets.end() ? nullptr : &found->second;
+}
+
 void
-FleetQuota::Fill(const std::string& aName, Bucket& aBucket, TimePoint aNow)
+FleetQuota::Fill(uint64_t aTag, Bucket& aBucket, TimePoint aNow)
 {
   const double seconds = SecondsBetween(aBucket.filledAt, aNow);
   if (seconds <= 0) {
@@ -202,7 +211,7 @@
   const double rate = aBucket.cap.ratePerSecond * reachable;
   aBucket.pool = std::min(burst, aBucket.pool + seconds * rate);
   aBucket.promises = std::min(burst, aBucket.promises + seconds * rate);
-  const double part = this->Part(aName, aBucket, aNow);
+  const double part = this->Part(aTag, aBucket, aNow);
   const double slowed = aBucket.pool < 0 ? kOverdrawnRate : 1;
   const double capacity = std::max(1.0, burst * kOwnBurst * part);
   aBucket.own =
@@ -240,12 +249,12 @@
 bool
 FleetQuota::Begin(const std::string& aOrganisation, TimePoint aNow)
 {
-  auto found = this->buckets.find(aOrganisation);
-  if (found == this->buckets.end() || found->second.cap.ratePerSecond <= 0) {
+  Bucket* found = this->Find(aOrganisation);
+  if (found == nullptr || found->cap.ratePerSecond <= 0) {
     return true;
   }
-  Bucket& bucket = found->second;
-  this->Fill(aOrganisation, bucket, aNow);
+  Bucket& bucket = *found;
+  this->Fill(OrganisationTag(aOrganisation), bucket, aNow);
   const double burst = bucket.cap.burst * this->Reachable(aNow);
   const double calls = CallsPerProgram(bucket);
   const double needed = std::min(calls, burst * kMostPromise);
@@ -266,11 +275,11 @@
 bool
 FleetQuota::Admit(const std::string& aOrganisation, TimePoint aNow)
 {
-  auto found = this->buckets.find(aOrganisation);
-  if (found == this->buckets.end()) {
+  Bucket* found = this->Find(aOrganisation);
+  if (found == nullptr) {
     return true;
   }
-  Bucket& bucket = found->second;
+  Bucket& bucket = *found;
   const double window = std::chrono::duration<double>(kDemandWindow).count();
   bucket.demand = DemandAt(bucket, aNow) + 1 / window;
   bucket.demandAt = aNow;
@@ -278,7 +287,7 @@
     ++bucket.admitted;
     return true;
   }
-  this->Fill(aOrganisation, bucket, aNow);
+  this->Fill(OrganisationTag(aOrganisation), bucket, aNow);
   const double burst = bucket.cap.burst * this->Reachable(aNow);
   if (bucket.pool < burst * kPoolFloor + 1) {
     if (bucket.own < 1) {
@@ -295,12 +304,12 @@
 void
 FleetQuota::Return(const std::string& aOrganisation)
 {
-  auto found = this->buckets.find(aOrganisation);
-  if (found == this->buckets.end() || found->second.admitted == 0) {
+  Bucket* found = this->Find(aOrganisation);
+  if (found == nullptr || found->admitted == 0) {
     return;
   }
   // The peers may have taken it out of their copies; theirs stay lower.
-  found->second.pool += 1;
+  found->pool += 1;
 }
 
 QuotaReports
@@ -327,14 +336,15 @@
   QuotaView view;
   view.heard = this->Heard(aNow);
   view.members = this->members.size();
-  auto found = this->buckets.find(aOrganisation);
+  const uint64_t tag = OrganisationTag(aOrganisation);
+  auto found = this->buckets.find(tag);
   if (found != this->buckets.end()) {
     view.pool = found->second.pool;
     view.own = found->second.own;
     view.promises = found->second.promises;
     view.callsPerProgram = CallsPerProgram(found->second);
     view.rate = found->second.cap.ratePerSecond;
-    view.part = this->Part(aOrganisation, found->second, aNow);
+    view.part = this->Part(tag, found->second, aNow);
   }
   return view;
 }
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -47,6 +47,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "kernel/digest.h"
 #include "kernel/kernel.h"
 
 namespace tanagerseam {
@@ -79,7 +80,15 @@
   double promised = 0;
 };
 
-using QuotaReports = std::unordered_map<std::string, QuotaReport>;
+// The key of an organisation in reports.
+inline uint64_t
+OrganisationTag(const std::string& aName)
+{
+  return StableHash(aName);
+}
+
+// By the tag of the organisation.
+using QuotaReports = std::unordered_map<uint64_t, QuotaReport>;
 
 // What decided about a call; for logs.
 struct QuotaView
@@ -163,13 +172,12 @@
   double WidenedBurst(QuotaCap aCap) const;
   static double CallsPerProgram(const Bucket& aBucket);
   static void Count(Bucket& aBucket, double aAdmitted, double aBegun);
-  void Fill(const std::string& aName, Bucket& aBucket, TimePoint aNow);
+  Bucket* Find(const std::string& aOrganisation);
+  void Fill(uint64_t aTag, Bucket& aBucket, TimePoint aNow);
   // Part of the fleet that this host hears, itself included.
   double Reachable(TimePoint aNow) const;
   // This host's part of what is asked of the hosts it hears.
-  double Part(const std::string& aName,
-              const Bucket& aBucket,
-              TimePoint aNow) const;
+  double Part(uint64_t aTag, const Bucket& aBucket, TimePoint aNow) const;
   static double DemandAt(const Bucket& aBucket, TimePoint aNow);
 
   std::string ownHost;
@@ -177,7 +185,8 @@
   QuotaSlack slack;
   std::vector<std::string> members;
   std::unordered_map<std::string, Peer> peers;
-  std::unordered_map<std::string, Bucket> buckets;
+  // By the tag of the organisation.
+  std::unordered_map<uint64_t, Bucket> buckets;
 };
 
 } // namespace tanagerseam
