Members are gone only when they could have announced themselves; a host that is about to end takes nothing new; a taken port is told

Changes - MemberTable: a member goes when its announcement is old, it was not heard for 4 s, and the log has been sound for 8 s; failed announcements are repeated after 0.7 s.

--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -17,7 +17,9 @@
 
 namespace {
 
-constexpr Millis kBootstrapLimit(10000);
+// A log that is away at the start is waited for so long; then peers tell the
+// configuration.
+constexpr Millis kBootstrapLimit(3000);
 constexpr Millis kQuietPoll(20);
 constexpr Millis kLeaveLimit(5000);
 constexpr size_t kPeerQueue = 4096;
@@ -414,6 +416,9 @@
 Daemon::Start()
 {
   Parts& self = *this->parts;
+  LogInfo(
+    "starting",
+    { { "zone", self.settings.zone }, { "log", self.settings.logAddress } });
   self.Listen();
   if (!self.journal.Start(kBootstrapLimit)) {
     LogWarn("log_unavailable_at_start", {});
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -7,6 +7,7 @@
 #include <restinio/asio_include.hpp>
 #include <sstream>
 
+#include "fleet/member_table.h"
 #include "gateway/gateway.h"
 #include "http/event_client.h"
 #include "http/event_server.h"
@@ -24,12 +25,12 @@
 constexpr Millis kServersWait(1500);
 constexpr Millis kServersSpacing(700);
 constexpr Millis kMembersSpacing(2000);
-constexpr Millis kAnnounceEvery(4000);
+constexpr Millis kAnnounceAgainAfter(700);
 constexpr Millis kAnnounceTimeout(1500);
-// A member that has not announced itself for so long is gone.
-constexpr Millis kMemberLife(14000);
-constexpr Millis kOldMemberLife(6000);
 constexpr Millis kLookAtFileEvery(2000);
+// Before the end, for calls that were taken to be answered: longer than the
+// timeouts of routes usually are.
+constexpr Millis kLastCallTime(3300);
 // Before the kill, for what is left to be written.
 constexpr Millis kShutdownMargin(700);
 constexpr Millis kShutdownPoll(50);
@@ -75,13 +76,6 @@
   return answer;
 }
 
-// A member of the fleet, as it announces itself in the store.
-struct Announcement
-{
-  FleetMember member;
-  TimePoint goneAt{};
-};
-
 std::optional<FleetMember>
 ReadMember(const std::string& aHost, const std::string& aText)
 {
@@ -251,39 +245,19 @@
     KeyedFeedHandlers handlers;
     handlers.onRecord = [this](const std::string& aKey, const auto& aValue) {
       if (!aValue) {
-        this->announced.erase(aKey);
-        return;
-      }
-      if (const auto member = ReadMember(aKey, *aValue)) {
-        // How old a record is that was there before is not known.
-        const Millis life = this->membersKnown ? kMemberLife : kOldMemberLife;
-        this->announced[aKey] = { *member, BootNow() + life };
+        this->gateway.RemoveMember(aKey);
+      } else if (const auto member = ReadMember(aKey, *aValue)) {
+        this->gateway.PutMember(*member, !this->membersKnown);
       }
     };
     handlers.onConfirmed = [this](TimePoint) {
       this->membersKnown = true;
-      this->UpdateMembers();
+      this->gateway.MembersConfirmed();
     };
-    handlers.onLost = [](LogFault) {};
+    handlers.onLost = [this](LogFault) { this->gateway.MembersLost(); };
     return handlers;
   }
 
-  void UpdateMembers()
-  {
-    const TimePoint now = BootNow();
-    std::vector<FleetMember> present;
-    for (auto it = this->announced.begin(); it != this->announced.end();) {
-      if (now > it->second.goneAt) {
-        LogInfo("member_gone", { { "member", it->first } });
-        it = this->announced.erase(it);
-      } else {
-        present.push_back(it->second.member);
-        ++it;
-      }
-    }
-    this->gateway.SetMembers(present);
-  }
-
   void Announce()
   {
     const nlohmann::json fields = { { "address",
@@ -295,13 +269,20 @@
       this->settings.host,
       fields.dump(),
       kAnnounceTimeout,
-      [](const AppendResult& aResult) {
-        if (const auto* error = std::get_if<LogFault>(&aResult)) {
+      [this](const AppendResult& aResult) {
+        const auto* error = std::get_if<LogFault>(&aResult);
+        if (error != nullptr) {
           LogInfo("announcement_failed",
                   { { "error", std::string(NameOf(*error)) } });
         }
+        this->AnnounceAfter(error != nullptr ? kAnnounceAgainAfter
+                                             : MemberTable::kAnnounceEvery);
       });
-    this->announceTimer.expires_after(kAnnounceEvery);
+  }
+
+  void AnnounceAfter(Millis aPause)
+  {
+    this->announceTimer.expires_after(aPause);
     this->announceTimer.async_wait([this](const auto& aError) {
       if (!aError) {
         this->Announce();
@@ -407,13 +388,19 @@
   }
 
   // Clients that still come are served until they have moved away; then the
-  // process ends with its last call, and at the limit in any case.
+  // process ends with its last call, and at the limit in any case. A client
+  // that comes back on an idle connection shortly before the limit is sent
+  // elsewhere: its call could not be answered any more.
   void PollShutdown()
   {
     const auto waited =
       std::chrono::duration_cast<Millis>(BootNow() - this->stopAskedAt);
     const bool noticed = waited >= this->settings.shutdownNotice;
-    const bool late = waited >= this->settings.shutdownLimit - kShutdownMargin;
+    const Millis last = this->settings.shutdownLimit - kShutdownMargin;
+    const bool late = waited >= last;
+    if (waited >= last - kLastCallTime) {
+      this->gateway.StopTakingCalls();
+    }
     if (noticed && !this->acceptingStopped) {
       this->acceptingStopped = true;
       this->calls->StopAccepting();
@@ -458,7 +445,6 @@
   asio::steady_timer fileTimer;
   asio::steady_timer shutdownTimer;
   std::string fileText;
-  std::map<std::string, Announcement> announced;
   std::unordered_map<std::string, int64_t> newestBorn;
   bool configurationLost = false;
   bool serversLost = false;
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -9,6 +9,8 @@
 
 // For a client that names no deadline, on a route without a shorter limit.
 constexpr Millis kLongestCall(600000);
+// For a client that another host can serve at once.
+constexpr Millis kRetryElsewhere(50);
 // For the log, before a call is placed.
 constexpr Millis kLongestLogWait(600);
 
@@ -22,6 +24,11 @@
       self->OnClientGone();
     }
   });
+  if (!this->state.takesCalls) {
+    this->RefuseUntil(
+      RefusalReason::kNotReady, "the host is about to end", kRetryElsewhere);
+    return;
+  }
   if (!this->FindRoute() || !this->CheckKey()) {
     return;
   }
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -323,7 +323,8 @@
   const TimePoint now = BootNow();
   switch (aReason) {
     case RefusalReason::kNotReady:
-      return true;
+      // What is passed on ends with this process, too.
+      return this->state.takesCalls;
     case RefusalReason::kLogUnavailable:
       // If only some partitions are away, a peer is no better off.
       return this->state.persistentLog.Away(now) || this->state.StoreAway(now);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -100,6 +100,22 @@
   }
 }
 
+void
+GatewayState::UpdateMembers()
+{
+  std::vector<std::string> hosts;
+  std::vector<FleetMember> others;
+  for (const FleetMember& member : this->members.Members()) {
+    hosts.push_back(member.host);
+    if (member.host != this->settings.host) {
+      others.push_back(member);
+    }
+  }
+  this->quota.SetMembers(hosts);
+  this->turnBudgets.SetMembers(hosts);
+  this->parts.link.SetPeers(std::move(others));
+}
+
 void
 GatewayState::SendWaiting()
 {
@@ -149,6 +165,7 @@
   {
     const TimePoint now = BootNow();
     this->state.budgets.Tick(now);
+    this->ExpireMembers(now);
     HostReport told;
     told.storeLost = this->state.StoreAway(now) || this->state.draining ||
                      this->state.persistentLog.Away(now);
@@ -169,6 +186,17 @@
     });
   }
 
+  void ExpireMembers(TimePoint aNow)
+  {
+    const auto gone = this->state.members.Expire(aNow);
+    for (const std::string& host : gone) {
+      LogInfo("member_gone", { { "member", host } });
+    }
+    if (!gone.empty()) {
+      this->state.UpdateMembers();
+    }
+  }
+
   void ShowGauges(TimePoint aNow)
   {
     Metrics& metrics = this->state.parts.metrics;
@@ -191,6 +219,7 @@
   {
     const TimePoint now = BootNow();
     this->state.peers.Heard(aReport, now);
+    this->state.members.Heard(aReport.host, now);
     this->state.dispatcher.PeerLoads(aReport.host, aReport.endpointCalls, now);
     this->state.turnBudgets.Heard(aReport.host, !aReport.storeLost, now);
     this->state.quota.PeerReport(
@@ -329,20 +358,29 @@
 }
 
 void
-Gateway::SetMembers(const std::vector<FleetMember>& aMembers)
+Gateway::PutMember(const FleetMember& aMember, bool aOld)
 {
-  GatewayState& state = this->impl->state;
-  std::vector<std::string> hosts;
-  std::vector<FleetMember> peers;
-  for (const FleetMember& member : aMembers) {
-    hosts.push_back(member.host);
-    if (member.host != state.settings.host) {
-      peers.push_back(member);
-    }
-  }
-  state.quota.SetMembers(hosts);
-  state.turnBudgets.SetMembers(hosts);
-  state.parts.link.SetPeers(std::move(peers));
+  this->impl->state.members.Announced(aMember, aOld, BootNow());
+  this->impl->state.UpdateMembers();
+}
+
+void
+Gateway::RemoveMember(const std::string& aHost)
+{
+  this->impl->state.members.Dropped(aHost);
+  this->impl->state.UpdateMembers();
+}
+
+void
+Gateway::MembersLost()
+{
+  this->impl->state.members.LogLost();
+}
+
+void
+Gateway::MembersConfirmed()
+{
+  this->impl->state.members.LogConfirmed(BootNow());
 }
 
 void
@@ -376,6 +414,12 @@
   this->impl->state.budgets.ReturnAll();
 }
 
+void
+Gateway::StopTakingCalls()
+{
+  this->impl->state.takesCalls = false;
+}
+
 size_t
 Gateway::UnderWay() const
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -99,13 +99,20 @@
   // The registry of endpoints did not answer, or answers again.
   void EndpointsLost();
   void EndpointsConfirmed();
-  void SetMembers(const std::vector<FleetMember>& aMembers);
+  // Announcements of the fleet's hosts; aOld: there before this host read them.
+  void PutMember(const FleetMember& aMember, bool aOld);
+  void RemoveMember(const std::string& aHost);
+  void MembersLost();
+  void MembersConfirmed();
 
   // ---- calls
   void Handle(EventRequest aRequest, std::shared_ptr<EventReply> aReply);
   // True while clients should come to this host.
   bool Ready() const;
+  // Clients should go elsewhere; those that still come are served.
   void Drain();
+  // The process ends soon: calls that come now are refused at once.
+  void StopTakingCalls();
   // Calls that are not answered whole.
   size_t UnderWay() const;
 
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "fleet/member_table.h"
 #include "gateway/gateway.h"
 #include "gateway/peer_table.h"
 #include "gateway/turn_budgets.h"
@@ -33,6 +34,8 @@
   bool StoreAway(TimePoint aNow) const;
   // Calls can be judged and served here.
   bool Ready(TimePoint aNow) const;
+  // Tells all parts which hosts there are.
+  void UpdateMembers();
   // Sends the calls that waited and can go now.
   void SendWaiting();
 
@@ -52,11 +55,14 @@
   TurnBudgets turnBudgets;
   HistoryService history;
   PeerTable peers;
+  MemberTable members;
   // Calls that wait for an endpoint or have one, by their number.
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
   uint64_t nextCall = 1;
   size_t underWay = 0;
   bool draining = false;
+  // False shortly before the process ends.
+  bool takesCalls = true;
   std::mt19937_64 random;
 };
 
--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -354,8 +354,21 @@
   ThisIoThread().answer = &self.settings.faultAnswer;
   self.server = std::make_unique<Impl::Server>(
     restinio::external_io_context(self.io), self.Options());
+  const std::string address =
+    self.settings.address + ":" + std::to_string(self.settings.port);
+  // RESTinio's callbacks must not throw; what the loop runs may.
   self.server->open_async(
-    [] {}, [](std::exception_ptr aError) { std::rethrow_exception(aError); });
+    [] {},
+    [&io = self.io, address](std::exception_ptr aError) {
+      restinio::asio_ns::post(io, [address, error = std::move(aError)] {
+        try {
+          std::rethrow_exception(error);
+        } catch (const std::exception& caught) {
+          throw std::runtime_error("can't listen on " + address + ": " +
+                                   caught.what());
+        }
+      });
+    });
 }
 
 void
--- a/http/testing/event_server_test.cc
+++ b/http/testing/event_server_test.cc
@@ -89,5 +89,27 @@
   EXPECT_EQ(this->server->Busy(), 0u);
 }
 
+// A program that can't listen has to say so and end.
+TEST(TakenPort, IsThrownOutOfTheLoopWithItsAddress)
+{
+  net::io_context io{ 1 };
+  net::ip::tcp::acceptor taken(io, { net::ip::make_address("127.0.0.1"), 0 });
+  EventServerSettings settings;
+  settings.port = taken.local_endpoint().port();
+  EventServer server(
+    io, settings, [](const EventRequest&, const std::shared_ptr<EventReply>&) {
+    });
+  server.Open();
+  try {
+    io.run_for(Millis(500));
+    FAIL() << "nothing was thrown";
+  } catch (const std::exception& error) {
+    EXPECT_NE(std::string(error.what())
+                .find("127.0.0.1:" + std::to_string(settings.port)),
+              std::string::npos)
+      << error.what();
+  }
+}
+
 } // namespace
 } // namespace tanagerseam
