--- a/kernel/kernel.h
+++ b/kernel/kernel.h
@@ -18,7 +18,7 @@
 // Parts: result.h (refusals and results), findings.h (errors of settings with
 // their place), clock.h (time as an argument), registry.h (plug-ins that
 // register themselves by name), worker_pool.h (blocking tasks on a bounded
-// pool), metrics.h (counters, quantiles, text exposition), log.h (JSON lines),
+// pool), metrics.h (counters, histograms, text exposition), log.h (JSON lines),
 // digest.h (hashes and random identifiers).
 #ifndef TANAGERSEAM_KERNEL_KERNEL_H_
 #define TANAGERSEAM_KERNEL_KERNEL_H_
--- a/kernel/metrics.cc
+++ b/kernel/metrics.cc
@@ -2,11 +2,10 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
-#include <array>
+#include <algorithm>
 #include <sstream>
 
 namespace tanagerseam {
@@ -15,11 +14,8 @@
 
 namespace {
 
-constexpr std::array<double, 3> kQuantiles = { 0.5, 0.95, 0.99 };
-
-using Accumulator = acc::accumulator_set<
-  double,
-  acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
+using Accumulator =
+  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
 
 std::string
 Encode(const Labels& aLabels)
@@ -56,9 +52,11 @@
 
 } // namespace
 
-struct Metrics::Summary
+struct Metrics::Histogram
 {
-  Accumulator accumulator{ acc::extended_p_square_probabilities = kQuantiles };
+  Accumulator accumulator;
+  // Samples up to each bound and above the one before.
+  std::array<uint64_t, kLatencyBounds.size()> counts{};
 };
 
 Metrics::Metrics() = default;
@@ -82,12 +80,17 @@
 Metrics::Observe(const std::string& aName, const Labels& aLabels, double aValue)
 {
   std::lock_guard<std::mutex> lock(this->mutex);
-  std::unique_ptr<Summary>& summary =
-    this->summaries[{ aName, Encode(aLabels) }];
-  if (!summary) {
-    summary = std::make_unique<Summary>();
+  std::unique_ptr<Histogram>& histogram =
+    this->histograms[{ aName, Encode(aLabels) }];
+  if (!histogram) {
+    histogram = std::make_unique<Histogram>();
+  }
+  histogram->accumulator(aValue);
+  const auto bound =
+    std::lower_bound(kLatencyBounds.begin(), kLatencyBounds.end(), aValue);
+  if (bound != kLatencyBounds.end()) {
+    ++histogram->counts[static_cast<size_t>(bound - kLatencyBounds.begin())];
   }
-  summary->accumulator(aValue);
 }
 
 double
@@ -112,19 +115,22 @@
   PrintFamily(out, this->counters, "counter");
   PrintFamily(out, this->gauges, "gauge");
   std::string last;
-  for (const auto& entry : this->summaries) {
+  for (const auto& entry : this->histograms) {
     const std::string& name = entry.first.first;
     const std::string& labels = entry.first.second;
     if (name != last) {
       last = name;
-      out << "# TYPE " << name << " summary\n";
+      out << "# TYPE " << name << " histogram\n";
     }
+    const std::string front =
+      name + "_bucket{" + labels + (labels.empty() ? "" : ",") + "le=\"";
     const Accumulator& values = entry.second->accumulator;
-    for (size_t i = 0; i < kQuantiles.size(); ++i) {
-      out << name << "{" << labels << (labels.empty() ? "" : ",")
-          << "quantile=\"" << kQuantiles[i] << "\"} "
-          << acc::extended_p_square(values)[i] << "\n";
+    uint64_t below = 0;
+    for (size_t i = 0; i < kLatencyBounds.size(); ++i) {
+      below += entry.second->counts[i];
+      out << front << kLatencyBounds[i] << "\"} " << below << "\n";
     }
+    out << front << "+Inf\"} " << acc::count(values) << "\n";
     out << name << "_sum" << Braced(labels) << " " << acc::sum(values) << "\n";
     out << name << "_count" << Braced(labels) << " " << acc::count(values)
         << "\n";
--- a/kernel/testing/kernel_test.cc
+++ b/kernel/testing/kernel_test.cc
@@ -42,17 +42,28 @@
   EXPECT_EQ(ran, 2);
 }
 
-TEST(Metrics, PrintsCountersAndQuantiles)
+TEST(Metrics, PrintsCountersAndHistograms)
 {
   Metrics metrics;
   metrics.Count("refusals_total", { { "reason", "no_endpoint" } });
   for (int i = 1; i <= 100; ++i) {
-    metrics.Observe("call_seconds", {}, i);
+    metrics.Observe("call_seconds", { { "kind", "stream" } }, i / 10.0);
   }
+  metrics.Observe("call_seconds", { { "kind", "stream" } }, 99);
   const std::string text = metrics.Text();
-  EXPECT_NE(text.find("refusals_total{reason=\"no_endpoint\"} 1"),
-            std::string::npos);
-  EXPECT_NE(text.find("call_seconds_count 100"), std::string::npos);
+  for (const char* line : {
+         "refusals_total{reason=\"no_endpoint\"} 1",
+         "# TYPE call_seconds histogram",
+         "call_seconds_bucket{kind=\"stream\",le=\"0.05\"} 0",
+         "call_seconds_bucket{kind=\"stream\",le=\"0.1\"} 1",
+         "call_seconds_bucket{kind=\"stream\",le=\"2.5\"} 25",
+         "call_seconds_bucket{kind=\"stream\",le=\"10\"} 100",
+         "call_seconds_bucket{kind=\"stream\",le=\"+Inf\"} 101",
+         "call_seconds_sum{kind=\"stream\"} 604",
+         "call_seconds_count{kind=\"stream\"} 101",
+       }) {
+    EXPECT_NE(text.find(std::string(line) + "\n"), std::string::npos) << line;
+  }
 }
 
 } // namespace
