--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -347,7 +347,7 @@
     return false;
   }
   std::uniform_int_distribution<size_t> draw(0, addresses.size() - 1);
-  const std::string address = addresses[draw(this->state.random)];
+  const std::string& address = addresses[draw(this->state.random)];
   const TimePoint until =
     this->arrivedAt + this->call.timeLeft.value_or(kLongestForward);
   auto forwarded = std::make_shared<ForwardedCall>(
