--- /dev/null
+++ b/http/exchange.cc
@@ -0,0 +1,163 @@
+#include "http/exchange.h"
+
+namespace tanagerseam {
+
+namespace {
+
+int
+RefuseSecondSend(void* aExchange, char*, char*, int, int)
+{
+  auto* exchange = static_cast<Exchange*>(aExchange);
+  ++exchange->timesSent;
+  return exchange->timesSent > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+bool
+IsBlank(std::string_view aLine)
+{
+  return aLine.empty() || aLine == "\r\n" || aLine == "\n";
+}
+
+void
+TakeStatusLine(Exchange& aExchange, std::string_view aLine)
+{
+  const size_t space = aLine.find(' ');
+  aExchange.answerHeaders.clear();
+  aExchange.status =
+    space == std::string_view::npos
+      ? 0
+      : std::atoi(std::string(aLine.substr(space + 1)).c_str());
+}
+
+void
+TakeHeader(Exchange& aExchange, std::string_view aLine)
+{
+  const size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos) {
+    return;
+  }
+  std::string_view value = aLine.substr(colon + 1);
+  const size_t first = value.find_first_not_of(" \t");
+  const size_t last = value.find_last_not_of(" \t\r\n");
+  value = first == std::string_view::npos
+            ? std::string_view()
+            : value.substr(first, last - first + 1);
+  aExchange.answerHeaders.emplace_back(std::string(aLine.substr(0, colon)),
+                                       std::string(value));
+}
+
+size_t
+OnHeaderLine(char* aData, size_t, size_t aLength, void* aExchange)
+{
+  auto* exchange = static_cast<Exchange*>(aExchange);
+  const std::string_view line(aData, aLength);
+  if (line.substr(0, 5) == "HTTP/") {
+    TakeStatusLine(*exchange, line);
+    return aLength;
+  }
+  if (!IsBlank(line)) {
+    TakeHeader(*exchange, line);
+    return aLength;
+  }
+  const bool interim = exchange->status < 200;
+  if (interim || exchange->headersTold) {
+    return aLength;
+  }
+  exchange->headersTold = true;
+  const bool accepted =
+    !exchange->handlers.onHeaders ||
+    exchange->handlers.onHeaders(exchange->status, exchange->answerHeaders);
+  exchange->rejected = !accepted;
+  return accepted ? aLength : 0;
+}
+
+size_t
+OnBody(char* aData, size_t, size_t aLength, void* aExchange)
+{
+  auto* exchange = static_cast<Exchange*>(aExchange);
+  exchange->answerBytes += aLength;
+  const bool fits = exchange->answerBytes <= exchange->call.maxAnswerBytes;
+  const bool accepted =
+    fits && (!exchange->handlers.onData ||
+             exchange->handlers.onData(std::string_view(aData, aLength)));
+  exchange->rejected = !accepted;
+  return accepted ? aLength : 0;
+}
+
+} // namespace
+
+void
+ConfigureExchange(Exchange& aExchange, int aMaxIdleSeconds)
+{
+  const EventCall& call = aExchange.call;
+  CURL* easy = aExchange.easy;
+  bool hasAccept = false;
+  bool hasType = false;
+  for (const auto& header : call.headers) {
+    hasAccept = hasAccept || EqualsIgnoringCase(header.first, "Accept");
+    hasType = hasType || EqualsIgnoringCase(header.first, "Content-Type");
+    const std::string line = header.second.empty()
+                               ? header.first + ";"
+                               : header.first + ": " + header.second;
+    aExchange.headers = curl_slist_append(aExchange.headers, line.c_str());
+  }
+  // libcurl adds headers of its own unless they are taken away.
+  aExchange.headers = curl_slist_append(aExchange.headers, "Expect:");
+  if (!hasAccept) {
+    aExchange.headers = curl_slist_append(aExchange.headers, "Accept:");
+  }
+  if (!hasType) {
+    aExchange.headers = curl_slist_append(aExchange.headers, "Content-Type:");
+  }
+  curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, call.target.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  if (call.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  } else if (call.method != "GET" || !call.body.empty()) {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+    curl_easy_setopt(easy,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call.body.size()));
+  }
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aExchange.headers);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, call.timeout.count());
+  curl_easy_setopt(
+    easy, CURLOPT_CONNECTTIMEOUT_MS, call.connectTimeout.count());
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+  curl_easy_setopt(
+    easy, CURLOPT_MAXAGE_CONN, static_cast<long>(aMaxIdleSeconds));
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aExchange.errorText);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &aExchange);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &RefuseSecondSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aExchange);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aExchange);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aExchange);
+}
+
+EventError
+ErrorOf(CURLcode aCode, const Exchange& aExchange)
+{
+  if (aCode == CURLE_OK) {
+    return EventError::kNone;
+  }
+  if (aExchange.rejected) {
+    return EventError::kRejected;
+  }
+  if (aExchange.timesSent > 1) {
+    return EventError::kStaleConnection;
+  }
+  if (aExchange.timesSent == 0) {
+    return EventError::kNotConnected;
+  }
+  return aCode == CURLE_OPERATION_TIMEDOUT ? EventError::kTimeout
+                                           : EventError::kBroken;
+}
+
+} // namespace tanagerseam
--- /dev/null
+++ b/http/exchange.h
@@ -0,0 +1,49 @@
+// One request and its response, as libcurl carries them out. Private to this
+// library.
+//
+//   Exchange exchange;
+//   exchange.call = ...;
+//   exchange.easy = easy;
+//   ConfigureExchange(exchange, maxIdleSeconds);
+//   // libcurl performs the transfer and calls the handlers
+//   EventError error = ErrorOf(code, exchange);
+//
+// The callbacks registered with libcurl hold a pointer to the exchange, which
+// must stay in its place until the transfer ends.
+#ifndef TANAGERSEAM_HTTP_EXCHANGE_H_
+#define TANAGERSEAM_HTTP_EXCHANGE_H_
+
+#include <curl/curl.h>
+
+#include "http/event_client.h"
+
+namespace tanagerseam {
+
+// One exchange. Lives from Start to its end or Cancel.
+struct Exchange
+{
+  uint64_t id = 0;
+  CURL* easy = nullptr;
+  curl_slist* headers = nullptr;
+  EventCall call;
+  EventHandlers handlers;
+  int status = 0;
+  HttpHeaders answerHeaders;
+  size_t answerBytes = 0;
+  int timesSent = 0;
+  bool rejected = false;
+  bool headersTold = false;
+  char errorText[CURL_ERROR_SIZE] = {};
+};
+
+// Sets all options of the transfer, but for its sockets.
+void
+ConfigureExchange(Exchange& aExchange, int aMaxIdleSeconds);
+
+// The result of a transfer that libcurl ended with aCode.
+EventError
+ErrorOf(CURLcode aCode, const Exchange& aExchange);
+
+} // namespace tanagerseam
+
+#endif // TANAGERSEAM_HTTP_EXCHANGE_H_
