Log lines name the connection that carried a request, and bytes that wait on a kept one

A response that belongs to another request could not be told from one that is not whole: no line said which connection carried a call, how old it was and how many requests it had carried before, and a forwarded call dropped a foreign response without a line. ended, broken and forward_ended bear these three figures now; bytes_on_idle_connection is written if bytes wait on a kept connection as a request is about to be sent. No behaviour changes.

--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -63,6 +63,14 @@
   return aFields;
 }
 
+LogFields
+CallFlow::WithConnection(LogFields aFields) const
+{
+  const LogFields connection = LogFieldsOf(this->connectionUse);
+  aFields.insert(aFields.end(), connection.begin(), connection.end());
+  return this->WithCallIds(std::move(aFields));
+}
+
 void
 CallFlow::Send(const Placement& aPlacement)
 {
@@ -197,6 +205,7 @@
   if (this->ended || !this->exchangeActive) {
     return;
   }
+  this->connectionUse = aOutcome.connectionUse;
   const std::string result = aOutcome.error == EventError::kNone
                                ? std::to_string(aOutcome.status)
                                : std::string(NameOf(aOutcome.error));
@@ -260,10 +269,11 @@
 void
 CallFlow::OnExchangeFailed(const EventOutcome& aOutcome)
 {
-  LogInfo("broken",
-          this->WithCallIds({ { "endpoint", this->endpointId },
-                              { "error", std::string(NameOf(aOutcome.error)) },
-                              { "detail", aOutcome.detail } }));
+  LogInfo(
+    "broken",
+    this->WithConnection({ { "endpoint", this->endpointId },
+                           { "error", std::string(NameOf(aOutcome.error)) },
+                           { "detail", aOutcome.detail } }));
   if (this->relaying) {
     this->Abort("endpoint_broke_off");
     return;
@@ -460,11 +470,11 @@
     static_cast<double>(took) / 1000);
   LogInfo(
     "ended",
-    this->WithCallIds({ { "how", aOutcome },
-                        { "status", std::to_string(this->response.status) },
-                        { "endpoint", this->endpointId },
-                        { "took_ms", std::to_string(took) },
-                        { "tokens", std::to_string(this->usedTokens) } }));
+    this->WithConnection({ { "how", aOutcome },
+                           { "status", std::to_string(this->response.status) },
+                           { "endpoint", this->endpointId },
+                           { "took_ms", std::to_string(took) },
+                           { "tokens", std::to_string(this->usedTokens) } }));
 }
 
 } // namespace tanagerseam
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -106,6 +106,7 @@
   Millis DrawRetryAfter();
   Millis RemainingTime() const;
   LogFields WithCallIds(LogFields aFields) const;
+  LogFields WithConnection(LogFields aFields) const;
 
   GatewayState& state;
   ServiceCall call;
@@ -148,6 +149,8 @@
   TimePoint sentAt{};
   TimePoint firstEventAt{};
   EndpointResponseHead response;
+  // Of the last attempt that ended.
+  ConnectionUse connectionUse;
   std::string responseBody;
   // The head of an event stream has been sent to the client.
   bool relaying = false;
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -78,6 +78,9 @@
     this->state.dependencies.dialect.ParseResponseHead(aStatus, aHeaders);
   if (!this->response.requestId.empty() &&
       this->response.requestId != this->call.requestId) {
+    LogWarn("answer_of_another_call",
+            { { "request", this->call.requestId },
+              { "answered", this->response.requestId } });
     return false;
   }
   const bool success = aStatus >= 200 && aStatus < 300;
@@ -127,6 +130,7 @@
     return;
   }
   const std::string detail(NameOf(aOutcome.error));
+  this->connectionUse = aOutcome.connectionUse;
   if (aOutcome.error == EventError::kNone && this->relaying) {
     this->reply->End();
     this->End("answered", detail);
@@ -174,12 +178,14 @@
     std::chrono::duration_cast<Millis>(BootNow() - this->startedAt).count();
   this->state.dependencies.metrics.Count("tanagerseam_forwarded_total",
                                          { { "end", aOutcome } });
-  LogInfo("forward_ended",
-          { { "request", this->call.requestId },
-            { "how", aOutcome },
-            { "status", std::to_string(this->response.status) },
-            { "detail", aDetail },
-            { "took_ms", std::to_string(took) } });
+  LogFields fields = { { "request", this->call.requestId },
+                       { "how", aOutcome },
+                       { "status", std::to_string(this->response.status) },
+                       { "detail", aDetail },
+                       { "took_ms", std::to_string(took) } };
+  const LogFields connection = LogFieldsOf(this->connectionUse);
+  fields.insert(fields.end(), connection.begin(), connection.end());
+  LogInfo("forward_ended", fields);
 }
 
 } // namespace tanagerseam
--- a/gateway/forwarded_call.h
+++ b/gateway/forwarded_call.h
@@ -55,6 +55,7 @@
   const TimePoint startedAt;
   EventClient::CallId exchange = 0;
   EndpointResponseHead response;
+  ConnectionUse connectionUse;
   std::string responseBody;
   // The head of an event stream has been sent to the client.
   bool relaying = false;
--- a/http/curl_sockets.cc
+++ b/http/curl_sockets.cc
@@ -1,6 +1,10 @@
 #include "http/curl_sockets.h"
 
+#include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 #include "kernel/log.h"
 
@@ -74,6 +78,11 @@
     LogWarn("socket_not_opened", { { "error", error.message() } });
     return CURL_SOCKET_BAD;
   }
+  const auto* address = reinterpret_cast<const sockaddr_in*>(&aAddress->addr);
+  watch->peer = { asio::ip::address_v4(ntohl(address->sin_addr.s_addr)),
+                  ntohs(address->sin_port) };
+  watch->number = ++self->opened;
+  watch->openedAt = BootNow();
   const int handle = watch->socket.native_handle();
   self->SetOptions(handle);
   self->watches[handle] = std::move(watch);
@@ -94,6 +103,60 @@
   return 0;
 }
 
+int
+CurlSockets::LocalPortOf(Watch& aWatch)
+{
+  if (aWatch.localPort == 0) {
+    asio::error_code ignored;
+    aWatch.localPort = aWatch.socket.local_endpoint(ignored).port();
+  }
+  return aWatch.localPort;
+}
+
+curl_socket_t
+CurlSockets::Find(const char* aPeerIp, int aPeerPort, int aLocalPort) const
+{
+  asio::error_code invalid;
+  const auto address = asio::ip::make_address(aPeerIp, invalid);
+  for (const auto& entry : this->watches) {
+    Watch& watch = *entry.second;
+    // Connections to different peers may have the same local port.
+    if (watch.peer.port() == aPeerPort && watch.peer.address() == address &&
+        LocalPortOf(watch) == aLocalPort) {
+      return entry.first;
+    }
+  }
+  return CURL_SOCKET_BAD;
+}
+
+ConnectionUse
+CurlSockets::BeginRequest(curl_socket_t aSocket)
+{
+  auto found = this->watches.find(aSocket);
+  if (found == this->watches.end()) {
+    return {};
+  }
+  Watch& watch = *found->second;
+  ConnectionUse use;
+  use.connection = watch.number;
+  use.earlierRequests = watch.requests++;
+  use.age = std::chrono::duration_cast<Millis>(BootNow() - watch.openedAt);
+  return use;
+}
+
+WaitingInput
+CurlSockets::InputOf(curl_socket_t aSocket) const
+{
+  char byte = 0;
+  const ssize_t got =
+    ::recv(aSocket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) {
+    return WaitingInput::kBytes;
+  }
+  const bool nothing = got < 0 && (errno == EAGAIN || errno == EINTR);
+  return nothing ? WaitingInput::kNothing : WaitingInput::kEnd;
+}
+
 int
 CurlSockets::OnWanted(CURL*,
                       curl_socket_t aSocket,
--- a/http/curl_sockets.h
+++ b/http/curl_sockets.h
@@ -18,10 +18,21 @@
 
 #include <restinio/asio_include.hpp>
 
+#include "http/event_client.h"
 #include "kernel/kernel.h"
 
 namespace tanagerseam {
 
+// What can be read from a connection that has no request under way.
+enum class WaitingInput
+{
+  kNothing,
+  // Bytes that belong to no request of the connection.
+  kBytes,
+  // The other side closed or reset the connection.
+  kEnd,
+};
+
 class CurlSockets
 {
 public:
@@ -37,6 +48,13 @@
   void AttachMulti(CURLM* aMulti);
   void AttachEasy(CURL* aEasy);
 
+  // The socket of one connection; CURL_SOCKET_BAD if there is none.
+  curl_socket_t Find(const char* aPeerIp, int aPeerPort, int aLocalPort) const;
+  // Counts a request that is about to be sent on aSocket.
+  ConnectionUse BeginRequest(curl_socket_t aSocket);
+  // What can be read from aSocket before a request is sent on it.
+  WaitingInput InputOf(curl_socket_t aSocket) const;
+
 private:
   // What libcurl waits for on one socket, and what Asio waits for.
   struct Watch
@@ -46,6 +64,13 @@
     {
     }
     restinio::asio_ns::ip::tcp::socket socket;
+    // What libcurl was asked to connect to.
+    restinio::asio_ns::ip::tcp::endpoint peer;
+    uint64_t number = 0;
+    TimePoint openedAt{};
+    int requests = 0;
+    // 0 until it was asked for on a connected socket.
+    int localPort = 0;
     int wanted = CURL_POLL_NONE;
     bool waitsRead = false;
     bool waitsWrite = false;
@@ -62,6 +87,7 @@
                       int aWhat,
                       void* aSelf,
                       void*);
+  static int LocalPortOf(Watch& aWatch);
   void SetOptions(int aSocket) const;
   void Wait(const WatchPtr& aWatch);
   void Ready(const WatchPtr& aWatch,
@@ -73,6 +99,7 @@
   const Millis userTimeout;
   OnReady onReady;
   std::map<curl_socket_t, WatchPtr> watches;
+  uint64_t opened = 0;
 };
 
 } // namespace tanagerseam
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -138,6 +138,7 @@
     outcome.error = ErrorOf(aCode, *exchange);
     outcome.status = exchange->headersTold ? exchange->status : 0;
     outcome.sent = exchange->timesSent > 0;
+    outcome.connectionUse = exchange->connectionUse;
     if (aCode != CURLE_OK) {
       outcome.detail = exchange->errorText[0] != '\0'
                          ? exchange->errorText
@@ -200,8 +201,8 @@
   exchange->call = std::move(aCall);
   exchange->handlers = std::move(aHandlers);
   exchange->easy = self.TakeEasy();
+  exchange->sockets = &self.sockets;
   ConfigureExchange(*exchange, self.settings.maxIdleSeconds);
-  self.sockets.AttachEasy(exchange->easy);
   const CallId id = exchange->id;
   self.exchanges[id] = std::move(exchange);
   if (self.inside) {
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -79,6 +79,20 @@
 std::string_view
 NameOf(EventError aError);
 
+// The connection that carried a request, for logs.
+struct ConnectionUse
+{
+  // Counts the client's connections from 1; 0: the request was never sent.
+  uint64_t connection = 0;
+  // Requests that the connection had carried before this one.
+  int earlierRequests = 0;
+  // Time since the connection was opened.
+  Millis age{ 0 };
+};
+
+LogFields
+LogFieldsOf(const ConnectionUse& aUse);
+
 struct EventOutcome
 {
   EventError error = EventError::kNone;
@@ -86,6 +100,7 @@
   int status = 0;
   // False: the server has certainly not seen the request.
   bool sent = true;
+  ConnectionUse connectionUse;
   std::string detail;
 };
 
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -4,12 +4,24 @@
 
 namespace {
 
+// libcurl is about to send the request.
 int
-RefuseSecondSend(void* aExchange, char*, char*, int, int)
+BeforeSend(void* aExchange, char* aPeerIp, char*, int aPeerPort, int aLocalPort)
 {
   auto* exchange = static_cast<Exchange*>(aExchange);
   ++exchange->timesSent;
-  return exchange->timesSent > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  if (exchange->timesSent > 1) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  const curl_socket_t socket =
+    exchange->sockets->Find(aPeerIp, aPeerPort, aLocalPort);
+  exchange->connectionUse = exchange->sockets->BeginRequest(socket);
+  if (exchange->sockets->InputOf(socket) == WaitingInput::kBytes) {
+    LogFields fields = LogFieldsOf(exchange->connectionUse);
+    fields.emplace_back("peer", exchange->call.url);
+    LogWarn("bytes_on_idle_connection", fields);
+  }
+  return CURL_PREREQFUNC_OK;
 }
 
 bool
@@ -133,12 +145,21 @@
     easy, CURLOPT_MAXAGE_CONN, static_cast<long>(aMaxIdleSeconds));
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aExchange.errorText);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &aExchange);
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &RefuseSecondSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &BeforeSend);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aExchange);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aExchange);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aExchange);
+  aExchange.sockets->AttachEasy(easy);
+}
+
+LogFields
+LogFieldsOf(const ConnectionUse& aUse)
+{
+  return { { "connection", std::to_string(aUse.connection) },
+           { "earlier_requests", std::to_string(aUse.earlierRequests) },
+           { "connection_age_ms", std::to_string(aUse.age.count()) } };
 }
 
 EventError
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -4,6 +4,7 @@
 //   Exchange exchange;
 //   exchange.call = ...;
 //   exchange.easy = easy;
+//   exchange.sockets = &sockets;
 //   ConfigureExchange(exchange, maxIdleSeconds);
 //   // libcurl performs the transfer and calls the handlers
 //   EventError error = ErrorOf(code, exchange);
@@ -15,6 +16,7 @@
 
 #include <curl/curl.h>
 
+#include "http/curl_sockets.h"
 #include "http/event_client.h"
 
 namespace tanagerseam {
@@ -31,12 +33,14 @@
   HttpHeaders answerHeaders;
   size_t answerBytes = 0;
   int timesSent = 0;
+  CurlSockets* sockets = nullptr;
+  ConnectionUse connectionUse;
   bool rejected = false;
   bool headersTold = false;
   char errorText[CURL_ERROR_SIZE] = {};
 };
 
-// Sets all options of the transfer, but for its sockets.
+// Sets all options of the transfer.
 void
 ConfigureExchange(Exchange& aExchange, int aMaxIdleSeconds);
 
