A kept connection with anything to read is not used for the next request

What a client got: 502 for a call that may have run, where an endpoint had responded to the call before a second time while the connection was idle, or had reset it; and, but for the comparison of ids, the response to that other call.

Cause: libcurl 7.88 takes a connection out of its pool though bytes wait on it, and drops bytes that came in one segment behind a chunked or empty response, so that the rest of them is read in place of the next response. Class: a connection whose state is not known to be between two exchanges is used as if it were.

Change: the client looks at the socket in libcurl's callback before each request; if a kept connection has bytes or has ended, it ends it and sends the request, which nobody has seen, on a new one. This holds for endpoints, peers and the store. A connection that was opened for the request is not looked at: a server that is full may respond at once.

--- a/http/curl_sockets.cc
+++ b/http/curl_sockets.cc
@@ -157,6 +157,13 @@
   return nothing ? WaitingInput::kNothing : WaitingInput::kEnd;
 }
 
+void
+CurlSockets::Discard(curl_socket_t aSocket)
+{
+  // libcurl closes the socket once it sees the end.
+  ::shutdown(aSocket, SHUT_RDWR);
+}
+
 int
 CurlSockets::OnWanted(CURL*,
                       curl_socket_t aSocket,
--- a/http/curl_sockets.h
+++ b/http/curl_sockets.h
@@ -54,6 +54,8 @@
   ConnectionUse BeginRequest(curl_socket_t aSocket);
   // What can be read from aSocket before a request is sent on it.
   WaitingInput InputOf(curl_socket_t aSocket) const;
+  // Ends the connection of aSocket, so that libcurl does not use it again.
+  void Discard(curl_socket_t aSocket);
 
 private:
   // What libcurl waits for on one socket, and what Asio waits for.
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -142,6 +142,10 @@
     if (found == this->exchanges.end()) {
       return;
     }
+    if (found->second->connectionUnusable) {
+      this->StartAgain(*found->second);
+      return;
+    }
     std::unique_ptr<Exchange> exchange = std::move(found->second);
     this->exchanges.erase(found);
     EventOutcome outcome;
@@ -158,6 +162,17 @@
     }
   }
 
+  // Sends a request, which no connection has carried yet, on a new connection.
+  void StartAgain(Exchange& aExchange)
+  {
+    this->Detach(aExchange);
+    curl_easy_reset(aExchange.easy);
+    aExchange.connectionUnusable = false;
+    aExchange.call.freshConnection = true;
+    ConfigureExchange(aExchange, this->settings.maxIdleSeconds);
+    curl_multi_add_handle(this->multi, aExchange.easy);
+  }
+
   void Detach(Exchange& aExchange)
   {
     curl_multi_remove_handle(this->multi, aExchange.easy);
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -17,6 +17,10 @@
 // each request refuses the second one, and the outcome says that the first may
 // have reached the server.
 //
+// Invariant: a connection with anything to read before a request is sent on it
+// is not used: its bytes belong to no request. The request goes out on a new
+// one.
+//
 // Cost: one easy handle for each call under way, kept for later calls.
 #ifndef TANAGERSEAM_HTTP_EVENT_CLIENT_H_
 #define TANAGERSEAM_HTTP_EVENT_CLIENT_H_
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -16,12 +16,20 @@
   const curl_socket_t socket =
     exchange->sockets->Find(aPeerIp, aPeerPort, aLocalPort);
   exchange->connectionUse = exchange->sockets->BeginRequest(socket);
-  if (exchange->sockets->InputOf(socket) == WaitingInput::kBytes) {
+  const WaitingInput input = exchange->sockets->InputOf(socket);
+  const bool kept = exchange->connectionUse.earlierRequests > 0;
+  if (!kept || input == WaitingInput::kNothing) {
+    return CURL_PREREQFUNC_OK;
+  }
+  if (input == WaitingInput::kBytes) {
     LogFields fields = LogFieldsOf(exchange->connectionUse);
     fields.emplace_back("peer", exchange->call.url);
     LogWarn("bytes_on_idle_connection", fields);
   }
-  return CURL_PREREQFUNC_OK;
+  exchange->sockets->Discard(socket);
+  exchange->connectionUnusable = true;
+  --exchange->timesSent;
+  return CURL_PREREQFUNC_ABORT;
 }
 
 bool
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -35,6 +35,9 @@
   int timesSent = 0;
   CurlSockets* sockets = nullptr;
   ConnectionUse connectionUse;
+  // The kept connection that libcurl chose had something to read or had ended;
+  // the request was not sent.
+  bool connectionUnusable = false;
   bool rejected = false;
   bool headersTold = false;
   char errorText[CURL_ERROR_SIZE] = {};
--- a/http/testing/event_client_test.cc
+++ b/http/testing/event_client_test.cc
@@ -151,5 +151,87 @@
     EventError::kBroken);
 }
 
+// A server that answers the first request of each connection and then sends
+// bytes that nobody asked for.
+class KeptConnection : public EventClientTest
+{
+protected:
+  // The result of a second call to a server that has sent aStray behind its
+  // first response.
+  CallResult SecondCall(const std::string& aFirst, const std::string& aStray)
+  {
+    RawEndpoint server(this->io, [&](const std::string& aRequest) {
+      PresetResponse response;
+      const bool first = IdOf(aRequest) == "a";
+      response.bytes = first ? aFirst : ResponseTo(IdOf(aRequest));
+      response.delay = first ? Millis(2) : Millis(0);
+      response.delayedBytes = aStray;
+      return response;
+    });
+    EXPECT_EQ(this->Call(server, "a").body, "to a");
+    this->RunFor(kIdleTime);
+    const CallResult result = this->Call(server, "b");
+    this->connections = server.acceptedConnections;
+    return result;
+  }
+
+  int connections = 0;
+};
+
+TEST_F(KeptConnection, IsUsedAgain)
+{
+  EXPECT_EQ(this->SecondCall(ResponseTo("a"), "").body, "to b");
+  EXPECT_EQ(this->connections, 1);
+}
+
+// Guards against a second response that arrives while the connection is idle:
+// the next call got it.
+TEST_F(KeptConnection, IsNotUsedAgainWithBytesThatNobodyAskedFor)
+{
+  for (const std::string& stray :
+       { ResponseTo("a"), ChunkedResponseTo("a"), std::string("x") }) {
+    const CallResult result = this->SecondCall(ResponseTo("a"), stray);
+    EXPECT_EQ(result.outcome.error, EventError::kNone) << result.outcome.detail;
+    EXPECT_EQ(result.body, "to b");
+    EXPECT_EQ(this->connections, 2);
+  }
+}
+
+// Guards against the rest of a second response whose beginning came in one
+// segment with the first one: libcurl drops that beginning, and the next call
+// failed on the rest.
+TEST_F(KeptConnection, IsNotUsedAgainWithTheRestOfAResponse)
+{
+  const std::string stray = ChunkedResponseTo("a");
+  for (size_t length = 1; length < stray.size(); ++length) {
+    const CallResult result = this->SecondCall(
+      ChunkedResponseTo("a") + stray.substr(0, length), stray.substr(length));
+    EXPECT_EQ(result.outcome.error, EventError::kNone) << length;
+    EXPECT_EQ(result.body, "to b") << length;
+  }
+}
+
+// Guards against a connection that the server reset while it was idle: the next
+// call was written to it and failed with an unknown outcome.
+TEST_F(KeptConnection, IsNotUsedAgainAfterItsEnd)
+{
+  for (const bool reset : { false, true }) {
+    RawEndpoint server(this->io, [reset](const std::string& aRequest) {
+      PresetResponse response;
+      response.bytes = ResponseTo(IdOf(aRequest));
+      response.delay = Millis(2);
+      response.reset = reset;
+      response.close = !reset;
+      return response;
+    });
+    for (const char* id : { "a", "b", "c" }) {
+      const CallResult result = this->Call(server, id);
+      EXPECT_EQ(result.outcome.error, EventError::kNone) << reset << id;
+      this->RunFor(kIdleTime);
+    }
+    EXPECT_EQ(server.requests.size(), 3u);
+  }
+}
+
 } // namespace
 } // namespace tanagerseam
