The client itself tells the response to its request from any other

What a client could get: the response to another call, as a complete success. A response without an id passed on any connection, also on one that had carried other requests.

Cause: the comparison stood in CallFlow and again in ForwardedCall, only one of them logged, and both took a response without an id for their own. Class: the fact that a connection carries exactly the response to this request was held above the layer that knows the connection. The store's client had no comparison at all.

Change: a call names its correlation header; EventClient compares it before the head is handed on. Another id ends the connection, and so does none, unless it is the first response of its connection: only then can it be no one else's. The line answer_of_another_call names the connection, for calls and forwarded calls alike; the attempt's result is foreign_response.

Not shown: endpoints of the users respond with an id by contract, so no run of theirs is known to have gone this way.

--- a/call/call.h
+++ b/call/call.h
@@ -80,8 +80,6 @@
   int status = 0;
   // Headers that are passed on to the client.
   HttpHeaders headers;
-  // Id of the request that the endpoint responds to; empty if it gave none.
-  std::string requestId;
   // The endpoint states that it did not execute the call.
   bool notExecuted = false;
   bool isEventStream = false;
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -146,14 +146,6 @@
                                               this->response.load->waiting,
                                             BootNow());
   }
-  // A late or duplicate response to another call on a reused connection.
-  if (!this->response.requestId.empty() &&
-      this->response.requestId != this->call.requestId) {
-    LogWarn("answer_of_another_call",
-            this->WithCallIds({ { "endpoint", this->endpointId },
-                                { "answered", this->response.requestId } }));
-    return false;
-  }
   const bool success = aStatus >= 200 && aStatus < 300;
   if (success && this->response.isEventStream) {
     this->relaying = true;
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -76,13 +76,6 @@
   }
   this->response =
     this->state.dependencies.dialect.ParseResponseHead(aStatus, aHeaders);
-  if (!this->response.requestId.empty() &&
-      this->response.requestId != this->call.requestId) {
-    LogWarn("answer_of_another_call",
-            { { "request", this->call.requestId },
-              { "answered", this->response.requestId } });
-    return false;
-  }
   const bool success = aStatus >= 200 && aStatus < 300;
   if (success && this->response.isEventStream) {
     this->relaying = true;
--- a/gateway/testing/gateway_test.cc
+++ b/gateway/testing/gateway_test.cc
@@ -338,6 +338,25 @@
   }
 }
 
+// Guards against a second response that names no request and comes once the
+// next request on its connection has been sent: that request's client got it.
+TEST_F(GatewayTest, DropsSecondResponseWithoutId)
+{
+  RawEndpoint tool(this->io, [&tool](const std::string& aRequest) {
+    const std::string stray =
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+    return PresetResponse{ (tool.requests.size() == 2 ? stray : "") +
+                           MakeResponse(aRequest, "done") };
+  });
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("t-1", "tools", tool.Address());
+  for (const char* id : { "r-1", "r-2", "r-3" }) {
+    const std::string response =
+      this->SendAndReceive(this->host, this->Request("GET", "/look/1", id));
+    EXPECT_NE(BodyOf(response), "stray") << id;
+  }
+}
+
 TEST_F(GatewayTest, DropsDuplicateResponse)
 {
   RawEndpoint tool(this->io, [](const std::string& aRequest) {
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -24,6 +24,7 @@
   { EventError::kTimeout, "timeout" },
   { EventError::kBroken, "broken" },
   { EventError::kStaleConnection, "stale_connection" },
+  { EventError::kForeignResponse, "foreign_response" },
   { EventError::kRejected, "rejected" },
 };
 
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -21,6 +21,10 @@
 // is not used: its bytes belong to no request. The request goes out on a new
 // one.
 //
+// Invariant: if the call names a correlation header, its response repeats the
+// header's value; only the first response of a connection may lack the header.
+// Any other response ends the connection and is not handed on.
+//
 // Cost: one easy handle for each call under way, kept for later calls.
 #ifndef TANAGERSEAM_HTTP_EVENT_CLIENT_H_
 #define TANAGERSEAM_HTTP_EVENT_CLIENT_H_
@@ -56,6 +60,9 @@
   // The request target as it goes on the wire.
   std::string target;
   HttpHeaders headers;
+  // Name of the request's header whose value the response repeats; empty if
+  // servers repeat none.
+  std::string correlationHeader;
   std::string body;
   Millis connectTimeout{ 1000 };
   // For the whole exchange.
@@ -75,6 +82,8 @@
   kBroken,
   // A kept connection was closed by the server as the request was written.
   kStaleConnection,
+  // The response belongs to another request.
+  kForeignResponse,
   // A handler turned the answer down.
   kRejected,
 };
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -66,6 +66,29 @@
                                        std::string(value));
 }
 
+// True if the response is to this exchange's request. A late or second response
+// to an earlier request of the connection names that request, or none.
+bool
+IsOwnResponse(const Exchange& aExchange)
+{
+  const std::string& header = aExchange.call.correlationHeader;
+  const auto expected = FirstHeader(aExchange.call.headers, header);
+  if (!expected) {
+    return true;
+  }
+  const auto answered = FirstHeader(aExchange.answerHeaders, header);
+  const bool first = aExchange.connectionUse.earlierRequests == 0;
+  if (answered ? *answered == *expected : first) {
+    return true;
+  }
+  LogFields fields = LogFieldsOf(aExchange.connectionUse);
+  fields.emplace_back("request", *expected);
+  fields.emplace_back("answered", answered.value_or(""));
+  fields.emplace_back("peer", aExchange.call.url);
+  LogWarn("answer_of_another_call", fields);
+  return false;
+}
+
 size_t
 OnHeaderLine(char* aData, size_t, size_t aLength, void* aExchange)
 {
@@ -87,6 +110,10 @@
   if (interim) {
     return aLength;
   }
+  exchange->foreign = !IsOwnResponse(*exchange);
+  if (exchange->foreign) {
+    return 0;
+  }
   exchange->headersTold = true;
   const bool accepted =
     !exchange->handlers.onHeaders ||
@@ -185,6 +212,9 @@
     // libcurl ends a response that is closed within its head as a success.
     return aExchange.headersTold ? EventError::kNone : EventError::kBroken;
   }
+  if (aExchange.foreign) {
+    return EventError::kForeignResponse;
+  }
   if (aExchange.rejected) {
     return EventError::kRejected;
   }
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -38,6 +38,7 @@
   // The kept connection that libcurl chose had something to read or had ended;
   // the request was not sent.
   bool connectionUnusable = false;
+  bool foreign = false;
   bool rejected = false;
   bool headersTold = false;
   char errorText[CURL_ERROR_SIZE] = {};
--- a/http/testing/event_client_test.cc
+++ b/http/testing/event_client_test.cc
@@ -65,6 +65,7 @@
     call.url = "http://" + aServer.Address();
     call.target = "/";
     call.headers = { { kIdHeader, aId } };
+    call.correlationHeader = kIdHeader;
     call.timeout = Millis(500);
     EventHandlers handlers;
     handlers.onHeaders = [result](int, const HttpHeaders&) {
@@ -211,6 +212,37 @@
   }
 }
 
+// Guards against a second response that comes once the next request has been
+// sent: it was told from the own response only if it named another request.
+TEST_F(KeptConnection, DoesNotGiveACallTheResponseToAnother)
+{
+  const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& stray : { ResponseTo("a"), unnamed }) {
+    RawEndpoint server(this->io, [&stray](const std::string& aRequest) {
+      const std::string id = IdOf(aRequest);
+      return PresetResponse{ (id == "b" ? stray : "") + ResponseTo(id) };
+    });
+    EXPECT_EQ(this->Call(server, "a").body, "to a");
+    const CallResult second = this->Call(server, "b");
+    EXPECT_EQ(second.outcome.error, EventError::kForeignResponse);
+    EXPECT_EQ(second.heads, 0);
+    EXPECT_EQ(second.outcome.connectionUse.earlierRequests, 1);
+    {
+      SCOPED_TRACE("the connection carries no further call");
+      EXPECT_EQ(this->Call(server, "c").body, "to c");
+      EXPECT_EQ(server.acceptedConnections, 2);
+    }
+  }
+}
+
+TEST_F(KeptConnection, MayGetItsFirstResponseWithoutAnId)
+{
+  RawEndpoint server(this->io, [](const std::string&) {
+    return PresetResponse{ "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n" };
+  });
+  EXPECT_EQ(this->Call(server, "a").outcome.status, 503);
+}
+
 // Guards against a connection that the server reset while it was idle: the next
 // call was written to it and failed with an unknown outcome.
 TEST_F(KeptConnection, IsNotUsedAgainAfterItsEnd)
