Calls that may not be repeated go out on connections of their own

What a client got: 502 with an unknown outcome for a call that may not be repeated, where an endpoint had responded a second time, late, to an earlier call of its connection, or had dropped the idle connection without a word.

Cause: such calls shared kept connections, so the rest of another exchange could take the place of their response; it is recognised, but the call has been sent by then and can't be repeated.

Change: calls of routes that may not be repeated, streams included, and calls forwarded to a peer (their kind is not known there) go out on a connection that carries nothing else. Idempotent calls keep using kept connections: they go on to another endpoint.

Evidence: GatewayTest.CallsThatMayNotBeRepeatedMeetNoEarlierResponse got 502 before, 200 after.

--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -111,6 +111,8 @@
     this->call, *endpoint, name, body, endpointTimeout);
   out.timeout = remaining + Millis(50);
   out.connectTimeout = std::min(remaining, Millis(300));
+  // A failure on a kept connection could not be repaired by a retry.
+  out.ownConnection = this->route->kind != CallKind::kIdempotent;
   this->response = EndpointResponseHead{};
   this->responseBody.clear();
   this->triedEndpoints.insert(this->endpointId);
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -53,6 +53,8 @@
     this->call, aAddress, peerTimeout);
   out.timeout = std::max(Millis(1), remaining);
   out.connectTimeout = std::min(out.timeout, kConnectTimeout);
+  // Whether the call may be repeated is not known here.
+  out.ownConnection = true;
   EventHandlers handlers;
   auto self = this->shared_from_this();
   handlers.onHeaders = [self](int aStatus, const HttpHeaders& aHeaders) {
--- a/gateway/testing/gateway_test.cc
+++ b/gateway/testing/gateway_test.cc
@@ -357,6 +357,28 @@
   }
 }
 
+// Guards against a late second response that takes the place of the response to
+// a call that may not be repeated: its outcome was unknown to its client.
+TEST_F(GatewayTest, CallsThatMayNotBeRepeatedMeetNoEarlierResponse)
+{
+  std::string previous;
+  RawEndpoint endpoint(this->io, [&](const std::string& aRequest) {
+    const std::string response = MakeResponse(aRequest, "done");
+    const bool keptConnection = endpoint.acceptedConnections == 1;
+    const std::string late = keptConnection ? previous : "";
+    previous = response;
+    return PresetResponse{ late + response };
+  });
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("t-1", "tools", endpoint.Address());
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->Request("GET", "/look/1", "r-1"))),
+            200);
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->Request("POST", "/charge/1", "r-2"))),
+            200);
+}
+
 TEST_F(GatewayTest, DropsDuplicateResponse)
 {
   RawEndpoint tool(this->io, [](const std::string& aRequest) {
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -143,7 +143,7 @@
     if (found == this->exchanges.end()) {
       return;
     }
-    if (found->second->connectionUnusable) {
+    if (found->second->mustStartAgain) {
       this->StartAgain(*found->second);
       return;
     }
@@ -168,8 +168,8 @@
   {
     this->Detach(aExchange);
     curl_easy_reset(aExchange.easy);
-    aExchange.connectionUnusable = false;
-    aExchange.call.freshConnection = true;
+    aExchange.mustStartAgain = false;
+    aExchange.keptConnectionFailed = true;
     ConfigureExchange(aExchange, this->settings.maxIdleSeconds);
     curl_multi_add_handle(this->multi, aExchange.easy);
   }
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -67,7 +67,9 @@
   Millis connectTimeout{ 1000 };
   // For the whole exchange.
   Millis timeout{ 30000 };
-  bool freshConnection = false;
+  // The request goes out on a new connection that carries nothing else, so that
+  // no earlier response can come on it and no idle one can break.
+  bool ownConnection = false;
   // The answer's body may not be larger.
   size_t maxAnswerBytes = 8u << 20;
 };
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -27,7 +27,7 @@
     LogWarn("bytes_on_idle_connection", fields);
   }
   exchange->sockets->Discard(socket);
-  exchange->connectionUnusable = true;
+  exchange->mustStartAgain = true;
   --exchange->timesSent;
   return CURL_PREREQFUNC_ABORT;
 }
@@ -183,7 +183,9 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, call.timeout.count());
   curl_easy_setopt(
     easy, CURLOPT_CONNECTTIMEOUT_MS, call.connectTimeout.count());
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+  const bool fresh = call.ownConnection || aExchange.keptConnectionFailed;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.ownConnection ? 1L : 0L);
   curl_easy_setopt(
     easy, CURLOPT_MAXAGE_CONN, static_cast<long>(aMaxIdleSeconds));
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aExchange.errorText);
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -35,9 +35,11 @@
   int timesSent = 0;
   CurlSockets* sockets = nullptr;
   ConnectionUse connectionUse;
-  // The kept connection that libcurl chose had something to read or had ended;
-  // the request was not sent.
-  bool connectionUnusable = false;
+  // The kept connection that libcurl chose had something to read or had ended,
+  // so the request was not sent; it is to be started again.
+  bool mustStartAgain = false;
+  // It was started again: no kept connection is tried any more.
+  bool keptConnectionFailed = false;
   bool foreign = false;
   bool rejected = false;
   bool headersTold = false;
--- a/http/testing/event_client_test.cc
+++ b/http/testing/event_client_test.cc
@@ -58,7 +58,9 @@
   }
 
   // The result of one call; aId is one character.
-  CallResult Call(const RawEndpoint& aServer, const std::string& aId)
+  CallResult Call(const RawEndpoint& aServer,
+                  const std::string& aId,
+                  bool aOwnConnection = false)
   {
     auto result = std::make_shared<CallResult>();
     EventCall call;
@@ -66,6 +68,7 @@
     call.target = "/";
     call.headers = { { kIdHeader, aId } };
     call.correlationHeader = kIdHeader;
+    call.ownConnection = aOwnConnection;
     call.timeout = Millis(500);
     EventHandlers handlers;
     handlers.onHeaders = [result](int, const HttpHeaders&) {
@@ -243,6 +246,36 @@
   EXPECT_EQ(this->Call(server, "a").outcome.status, 503);
 }
 
+TEST_F(KeptConnection, IsNeitherTakenNorLeftByACallThatAsksForItsOwn)
+{
+  RawEndpoint server(this->io, [](const std::string& aRequest) {
+    return PresetResponse{ ResponseTo(IdOf(aRequest)) };
+  });
+  EXPECT_EQ(this->Call(server, "a").body, "to a");
+  const CallResult own = this->Call(server, "b", true);
+  EXPECT_EQ(own.body, "to b");
+  EXPECT_EQ(own.outcome.connectionUse.connection, 2u);
+  EXPECT_EQ(this->Call(server, "c").outcome.connectionUse.connection, 1u);
+}
+
+// Guards against a second run of a request: libcurl sends a request again by
+// itself if a kept connection ends before the first byte of the response.
+TEST_F(KeptConnection, CarriesARequestOnceAlthoughItIsResetMeanwhile)
+{
+  RawEndpoint server(this->io, [](const std::string& aRequest) {
+    PresetResponse response;
+    response.reset = IdOf(aRequest) == "b";
+    response.bytes = response.reset ? "" : ResponseTo(IdOf(aRequest));
+    return response;
+  });
+  EXPECT_EQ(this->Call(server, "a").body, "to a");
+  const CallResult second = this->Call(server, "b");
+  EXPECT_EQ(second.outcome.error, EventError::kStaleConnection);
+  EXPECT_TRUE(second.outcome.sent);
+  EXPECT_EQ(second.outcome.connectionUse.earlierRequests, 1);
+  EXPECT_EQ(server.requests.size(), 2u);
+}
+
 // Guards against a connection that the server reset while it was idle: the next
 // call was written to it and failed with an unknown outcome.
 TEST_F(KeptConnection, IsNotUsedAgainAfterItsEnd)
