A handler that cancels its own call is not destroyed while it runs

Cause: Cancel, called from a handler, replaced the call's handlers, among them the one that was running: what it had captured, and through it the call flow, could be gone before it returned. Found by reading while the way of a response was traced; no run is known in which it showed, since a call flow is held by its timer too.

Change: a cancelled exchange keeps its handlers until libcurl has returned and calls none of them.

Evidence: EventClientTest.AHandlerThatCancelsItsCallOutlivesThat fails before (aliveAfterCancel false).

--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -143,7 +143,7 @@
     if (found == this->exchanges.end()) {
       return;
     }
-    if (found->second->mustStartAgain) {
+    if (found->second->mustStartAgain && !found->second->cancelled) {
       this->StartAgain(*found->second);
       return;
     }
@@ -158,7 +158,7 @@
       outcome.detail = DetailOf(aCode, *exchange);
     }
     this->Recycle(*exchange);
-    if (exchange->handlers.onDone) {
+    if (!exchange->cancelled && exchange->handlers.onDone) {
       exchange->handlers.onDone(outcome);
     }
   }
@@ -246,9 +246,9 @@
     return;
   }
   if (self.inside) {
-    // libcurl runs this exchange's callback; it ends once the callback returns.
-    found->second->handlers = EventHandlers{};
-    found->second->handlers.onData = [](std::string_view) { return false; };
+    // libcurl may be in one of this exchange's callbacks; it ends once libcurl
+    // returns.
+    found->second->cancelled = true;
     asio::post(self.io, [this, aId] { this->Cancel(aId); });
     return;
   }
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -94,6 +94,9 @@
 {
   auto* exchange = static_cast<Exchange*>(aExchange);
   const std::string_view line(aData, aLength);
+  if (exchange->cancelled) {
+    return 0;
+  }
   if (exchange->headersTold) {
     // A trailer, which nobody asked for.
     return aLength;
@@ -126,6 +129,9 @@
 OnBody(char* aData, size_t, size_t aLength, void* aExchange)
 {
   auto* exchange = static_cast<Exchange*>(aExchange);
+  if (exchange->cancelled) {
+    return 0;
+  }
   if (!exchange->headersTold) {
     // The bytes behind a change of protocol are no body.
     return 0;
--- a/http/testing/event_client_test.cc
+++ b/http/testing/event_client_test.cc
@@ -298,5 +298,43 @@
   }
 }
 
+// Guards against a handler that is destroyed while it runs: one that cancelled
+// its own call lost all that it had captured.
+TEST_F(EventClientTest, AHandlerThatCancelsItsCallOutlivesThat)
+{
+  RawEndpoint server(this->io, [](const std::string& aRequest) {
+    return PresetResponse{ ResponseTo(IdOf(aRequest)) };
+  });
+  auto captured = std::make_shared<int>(0);
+  const std::weak_ptr<int> observer = captured;
+  EventClient::CallId id = 0;
+  int pieces = 0;
+  bool aliveAfterCancel = false;
+  bool done = false;
+  EventCall call;
+  call.url = "http://" + server.Address();
+  call.target = "/";
+  call.headers = { { kIdHeader, "a" } };
+  EventHandlers handlers;
+  handlers.onHeaders = [&, captured](int, const HttpHeaders&) {
+    this->client.Cancel(id);
+    aliveAfterCancel = !observer.expired();
+    return true;
+  };
+  handlers.onData = [&](std::string_view) {
+    ++pieces;
+    return true;
+  };
+  handlers.onDone = [&](const EventOutcome&) { done = true; };
+  captured.reset();
+  id = this->client.Start(std::move(call), std::move(handlers));
+  this->RunFor(Millis(50));
+  EXPECT_TRUE(aliveAfterCancel);
+  EXPECT_TRUE(observer.expired());
+  EXPECT_EQ(pieces, 0);
+  EXPECT_FALSE(done);
+  EXPECT_EQ(this->client.UnderWay(), 0u);
+}
+
 } // namespace
 } // namespace tanagerseam
