One relay carries the response of an endpoint or a peer to the client

CallFlow and ForwardedCall wired the same exchange twice: handlers, the head of a stream, kept bodies, the read pause of a slow client. ResponseRelay does it for both; one relay carries one attempt, so nothing of an attempt before is left in it. RecordEvents keeps what only calls need.

--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -113,66 +113,47 @@
   out.connectTimeout = std::min(remaining, Millis(300));
   // A failure on a kept connection could not be repaired by a retry.
   out.ownConnection = this->route->kind != CallKind::kIdempotent;
-  this->response = EndpointResponseHead{};
-  this->responseBody.clear();
   this->triedEndpoints.insert(this->endpointId);
   ++this->attempts;
   this->sentAt = BootNow();
   this->firstEventAt = TimePoint{};
-  EventHandlers handlers;
+  RelayHandlers handlers;
   auto self = this->shared_from_this();
-  handlers.onHeaders = [self](int aStatus, const HttpHeaders& aHeaders) {
-    return self->OnHeaders(aStatus, aHeaders);
+  handlers.onHead = [self](const EndpointResponseHead& aHead) {
+    self->OnHead(aHead);
   };
-  handlers.onData = [self](std::string_view aChunk) {
-    return self->OnData(aChunk);
+  handlers.onStreamPiece = [self](std::string_view aPiece) {
+    self->RecordEvents(aPiece);
   };
   handlers.onDone = [self](const EventOutcome& aOutcome) {
     self->OnDone(aOutcome);
   };
-  this->exchange =
-    this->state.dependencies.client.Start(std::move(out), std::move(handlers));
+  this->relay =
+    std::make_shared<ResponseRelay>(this->state.dependencies.client,
+                                    this->state.dependencies.dialect,
+                                    this->reply);
+  this->relay->Start(std::move(out), std::move(handlers));
 }
 
-bool
-CallFlow::OnHeaders(int aStatus, const HttpHeaders& aHeaders)
+void
+CallFlow::OnHead(const EndpointResponseHead& aHead)
 {
-  if (this->ended) {
-    return false;
-  }
-  this->response =
-    this->state.dependencies.dialect.ParseResponseHead(aStatus, aHeaders);
-  if (this->response.load) {
-    this->state.dispatcher.OnEndpointReport(this->endpointId,
-                                            this->response.load->running +
-                                              this->response.load->waiting,
-                                            BootNow());
+  if (aHead.load) {
+    this->state.dispatcher.OnEndpointReport(
+      this->endpointId, aHead.load->running + aHead.load->waiting, BootNow());
   }
-  const bool success = aStatus >= 200 && aStatus < 300;
-  if (success && this->response.isEventStream) {
-    this->relaying = true;
-    this->reply->OnDrained([weak = this->weak_from_this()] {
-      if (auto self = weak.lock()) {
-        self->ResumeReading();
-      }
-    });
-    this->reply->Begin(aStatus, this->response.headers);
-  }
-  return true;
+}
+
+int
+CallFlow::ResponseStatus() const
+{
+  return this->relay ? this->relay->Head().status : 0;
 }
 
 bool
-CallFlow::OnData(std::string_view aChunk)
+CallFlow::IsStreaming() const
 {
-  if (this->ended) {
-    return false;
-  }
-  if (this->relaying) {
-    this->RelayEvents(aChunk);
-  } else {
-    this->responseBody.append(aChunk);
-  }
-  return true;
+  return this->relay && this->relay->IsStreaming();
 }
 
 void
@@ -205,7 +186,7 @@
                                : std::string(NameOf(aOutcome.error));
   this->state.dependencies.metrics.Count("tanagerseam_attempts_total",
                                          { { "result", result } });
-  if (aOutcome.error == EventError::kNone && this->response.notExecuted) {
+  if (aOutcome.error == EventError::kNone && this->relay->Head().notExecuted) {
     this->EndAttempt(AttemptResult::kRejected);
     this->OnNotExecuted("turned_away");
   } else if (aOutcome.error == EventError::kNone) {
@@ -243,11 +224,11 @@
 void
 CallFlow::OnNotExecuted(const char* aCause)
 {
-  LogInfo(
-    "not_run",
-    this->WithCallIds({ { "endpoint", this->endpointId },
-                        { "why", aCause },
-                        { "status", std::to_string(this->response.status) } }));
+  LogInfo("not_run",
+          this->WithCallIds(
+            { { "endpoint", this->endpointId },
+              { "why", aCause },
+              { "status", std::to_string(this->ResponseStatus()) } }));
   if (this->CanRetry()) {
     this->Retry();
     return;
@@ -268,7 +249,7 @@
     this->WithConnection({ { "endpoint", this->endpointId },
                            { "error", std::string(NameOf(aOutcome.error)) },
                            { "detail", aOutcome.detail } }));
-  if (this->relaying) {
+  if (this->IsStreaming()) {
     this->Abort("endpoint_broke_off");
     return;
   }
@@ -285,13 +266,11 @@
 void
 CallFlow::OnResponseComplete()
 {
-  if (this->relaying) {
+  if (this->IsStreaming()) {
     this->PersistTurn();
     return;
   }
-  this->reply->Send(this->response.status,
-                    this->response.headers,
-                    std::move(this->responseBody));
+  this->relay->SendWhole();
   this->End("answered");
 }
 
@@ -310,7 +289,7 @@
   if (this->ended) {
     return;
   }
-  if (this->relaying) {
+  if (this->IsStreaming()) {
     this->Abort("deadline");
     return;
   }
@@ -441,7 +420,7 @@
   this->timer.cancel();
   const TimePoint now = BootNow();
   if (this->exchangeActive) {
-    this->state.dependencies.client.Cancel(this->exchange);
+    this->relay->Cancel();
     this->EndAttempt(AttemptResult::kCancelled);
   } else if (this->inDispatcher) {
     this->state.dispatcher.RemoveQueued(this->dispatchId);
@@ -465,7 +444,7 @@
   LogInfo(
     "ended",
     this->WithConnection({ { "how", aOutcome },
-                           { "status", std::to_string(this->response.status) },
+                           { "status", std::to_string(this->ResponseStatus()) },
                            { "endpoint", this->endpointId },
                            { "took_ms", std::to_string(took) },
                            { "tokens", std::to_string(this->usedTokens) } }));
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -17,6 +17,7 @@
 
 #include "endpoint/sse_parser.h"
 #include "gateway/gateway_state.h"
+#include "gateway/response_relay.h"
 
 namespace tanagerseam {
 
@@ -59,8 +60,7 @@
 
   // ---- one attempt at an endpoint
   void StartExchange();
-  bool OnHeaders(int aStatus, const HttpHeaders& aHeaders);
-  bool OnData(std::string_view aChunk);
+  void OnHead(const EndpointResponseHead& aHead);
   void OnDone(const EventOutcome& aOutcome);
   // Reports the attempt's result to the dispatcher.
   void EndAttempt(AttemptResult aEnd);
@@ -75,14 +75,13 @@
   bool CanRetry() const;
   void Retry();
 
-  // ---- relay of event streams
-  void RelayEvents(std::string_view aChunk);
+  // ---- event streams
+  // Counts the events of a piece, and keeps them for the history.
+  void RecordEvents(std::string_view aPiece);
   // Writes the turn to the record log if the route keeps history, then finishes
   // the stream; aborts it if the write fails.
   void PersistTurn();
   void FinishStream();
-  // Ends a read pause that was made for backpressure.
-  void ResumeReading();
 
   // ---- termination
   void OnClientDisconnected();
@@ -105,6 +104,10 @@
   // Randomised Retry-After for a refused client, scaled to its remaining time.
   Millis DrawRetryAfter();
   Millis RemainingTime() const;
+  // The status of the last attempt's response; 0 without a response.
+  int ResponseStatus() const;
+  // The head of an event stream has been sent to the client.
+  bool IsStreaming() const;
   LogFields WithCallIds(LogFields aFields) const;
   LogFields WithConnection(LogFields aFields) const;
 
@@ -142,20 +145,15 @@
   // A failed attempt may have executed the call.
   bool mayHaveExecuted = false;
   std::string endpointId;
-  EventClient::CallId exchange = 0;
+  // The last attempt; null before the first.
+  std::shared_ptr<ResponseRelay> relay;
   bool exchangeActive = false;
   // The dispatcher holds this call, queued or placed.
   bool inDispatcher = false;
   TimePoint sentAt{};
   TimePoint firstEventAt{};
-  EndpointResponseHead response;
   // Of the last attempt that ended.
   ConnectionUse connectionUse;
-  std::string responseBody;
-  // The head of an event stream has been sent to the client.
-  bool relaying = false;
-  // Reading from the endpoint is paused for backpressure.
-  bool readPaused = false;
   SseParser sseParser;
   // Data of all events of the turn, for the history.
   std::string turnOutput;
--- a/gateway/call_relay.cc
+++ b/gateway/call_relay.cc
@@ -1,15 +1,15 @@
-// Relay of event streams: events are forwarded as they arrive, and a turn is
-// persisted before the client sees the end of its stream.
+// Event streams: a turn is persisted before the client sees the end of its
+// stream.
 #include "gateway/call_flow.h"
 
 namespace tanagerseam {
 
 void
-CallFlow::RelayEvents(std::string_view aChunk)
+CallFlow::RecordEvents(std::string_view aPiece)
 {
   const bool recordOutput = this->route->retainsHistory;
   const bool parsed =
-    this->sseParser.Feed(aChunk, [this, recordOutput](std::string_view aData) {
+    this->sseParser.Feed(aPiece, [this, recordOutput](std::string_view aData) {
       if (this->firstEventAt == TimePoint{}) {
         this->firstEventAt = BootNow();
         const auto firstEventLatency = this->firstEventAt - this->arrivedAt;
@@ -29,21 +29,6 @@
     LogWarn("event_too_long",
             this->WithCallIds({ { "endpoint", this->endpointId } }));
   }
-  this->reply->Write(std::string(aChunk));
-  if (!this->readPaused && this->reply->Unwritten() > kMaxUnsentBytes) {
-    this->readPaused = true;
-    this->state.dependencies.client.Pause(this->exchange, true);
-  }
-}
-
-// Called when all data written to the client has been sent; ends a read pause.
-void
-CallFlow::ResumeReading()
-{
-  if (this->readPaused && !this->ended) {
-    this->readPaused = false;
-    this->state.dependencies.client.Pause(this->exchange, false);
-  }
 }
 
 void
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -55,67 +55,14 @@
   out.connectTimeout = std::min(out.timeout, kConnectTimeout);
   // Whether the call may be repeated is not known here.
   out.ownConnection = true;
-  EventHandlers handlers;
-  auto self = this->shared_from_this();
-  handlers.onHeaders = [self](int aStatus, const HttpHeaders& aHeaders) {
-    return self->OnHeaders(aStatus, aHeaders);
-  };
-  handlers.onData = [self](std::string_view aChunk) {
-    return self->OnData(aChunk);
-  };
-  handlers.onDone = [self](const EventOutcome& aOutcome) {
-    self->OnDone(aOutcome);
-  };
-  this->exchange =
-    this->state.dependencies.client.Start(std::move(out), std::move(handlers));
-}
-
-bool
-ForwardedCall::OnHeaders(int aStatus, const HttpHeaders& aHeaders)
-{
-  if (this->ended) {
-    return false;
-  }
-  this->response =
-    this->state.dependencies.dialect.ParseResponseHead(aStatus, aHeaders);
-  const bool success = aStatus >= 200 && aStatus < 300;
-  if (success && this->response.isEventStream) {
-    this->relaying = true;
-    this->reply->OnDrained([weak = this->weak_from_this()] {
-      if (auto self = weak.lock()) {
-        self->ResumeReading();
-      }
-    });
-    this->reply->Begin(aStatus, this->response.headers);
-  }
-  return true;
-}
-
-bool
-ForwardedCall::OnData(std::string_view aChunk)
-{
-  if (this->ended) {
-    return false;
-  }
-  if (!this->relaying) {
-    this->responseBody.append(aChunk);
-    return true;
-  }
-  this->reply->Write(std::string(aChunk));
-  if (!this->readPaused && this->reply->Unwritten() > kMaxUnsentBytes) {
-    this->readPaused = true;
-    this->state.dependencies.client.Pause(this->exchange, true);
-  }
-  return true;
-}
-
-void
-ForwardedCall::ResumeReading()
-{
-  if (this->readPaused && !this->ended) {
-    this->readPaused = false;
-    this->state.dependencies.client.Pause(this->exchange, false);
-  }
+  RelayHandlers handlers;
+  handlers.onDone = [self = this->shared_from_this()](
+                      const EventOutcome& aOutcome) { self->OnDone(aOutcome); };
+  this->relay =
+    std::make_shared<ResponseRelay>(this->state.dependencies.client,
+                                    this->state.dependencies.dialect,
+                                    this->reply);
+  this->relay->Start(std::move(out), std::move(handlers));
 }
 
 void
@@ -126,15 +73,13 @@
   }
   const std::string detail(NameOf(aOutcome.error));
   this->connectionUse = aOutcome.connectionUse;
-  if (aOutcome.error == EventError::kNone && this->relaying) {
+  if (aOutcome.error == EventError::kNone && this->relay->IsStreaming()) {
     this->reply->End();
     this->End("answered", detail);
   } else if (aOutcome.error == EventError::kNone) {
-    this->reply->Send(this->response.status,
-                      this->response.headers,
-                      std::move(this->responseBody));
+    this->relay->SendWhole();
     this->End("answered", detail);
-  } else if (this->relaying) {
+  } else if (this->relay->IsStreaming()) {
     this->reply->Break();
     this->End("broken_off", detail);
   } else if (!aOutcome.sent) {
@@ -152,7 +97,7 @@
   if (this->ended) {
     return;
   }
-  this->state.dependencies.client.Cancel(this->exchange);
+  this->relay->Cancel();
   this->reply->Break();
   this->End("client_gone", "");
 }
@@ -175,7 +120,7 @@
                                          { { "end", aOutcome } });
   LogFields fields = { { "request", this->call.requestId },
                        { "how", aOutcome },
-                       { "status", std::to_string(this->response.status) },
+                       { "status", std::to_string(this->relay->Head().status) },
                        { "detail", aDetail },
                        { "took_ms", std::to_string(took) } };
   const LogFields connection = LogFieldsOf(this->connectionUse);
--- a/gateway/forwarded_call.h
+++ b/gateway/forwarded_call.h
@@ -20,6 +20,7 @@
 #include <string>
 
 #include "gateway/gateway_state.h"
+#include "gateway/response_relay.h"
 
 namespace tanagerseam {
 
@@ -39,11 +40,8 @@
   void Start(const std::string& aAddress);
 
 private:
-  bool OnHeaders(int aStatus, const HttpHeaders& aHeaders);
-  bool OnData(std::string_view aChunk);
   void OnDone(const EventOutcome& aOutcome);
   void OnClientDisconnected();
-  void ResumeReading();
   void SendRefusal(const Refusal& aRefusal);
   void End(const char* aOutcome, const std::string& aDetail);
 
@@ -53,14 +51,8 @@
   Refusal localRefusal;
   const TimePoint deadline;
   const TimePoint startedAt;
-  EventClient::CallId exchange = 0;
-  EndpointResponseHead response;
+  std::shared_ptr<ResponseRelay> relay;
   ConnectionUse connectionUse;
-  std::string responseBody;
-  // The head of an event stream has been sent to the client.
-  bool relaying = false;
-  // Reading from the peer is paused for backpressure.
-  bool readPaused = false;
   bool ended = false;
 };
 
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -18,10 +18,6 @@
 
 class CallFlow;
 
-// Backpressure: reading from the endpoint or peer pauses while more bytes than
-// this wait to be sent to the client.
-constexpr size_t kMaxUnsentBytes = 256u << 10;
-
 struct GatewayState
 {
   GatewayState(GatewaySettings aSettings, GatewayDependencies aDependencies);
--- /dev/null
+++ b/gateway/response_relay.h
@@ -0,0 +1,81 @@
+// Relays the response of an endpoint or a peer to the client. Private to this
+// library.
+//
+//   RelayHandlers handlers;
+//   handlers.onDone = [](const EventOutcome& aOutcome) { ... };
+//   auto relay = std::make_shared<ResponseRelay>(client, dialect, reply);
+//   relay->Start(std::move(call), std::move(handlers));
+//
+// One relay carries one exchange. The head of a successful event stream and its
+// pieces go to the client as they arrive; any other response is kept until
+// SendWhole. How a stream ends is up to the owner: the relay neither ends nor
+// breaks off the reply. The client owns the handlers until the exchange ends,
+// so they may hold references to the owner.
+//
+// Backpressure: reading pauses while more than kMaxUnsentBytes wait to be sent
+// to the client.
+#ifndef TANAGERSEAM_GATEWAY_RESPONSE_RELAY_H_
+#define TANAGERSEAM_GATEWAY_RESPONSE_RELAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "call/call.h"
+
+namespace tanagerseam {
+
+// Each may be empty; none is called after Cancel.
+struct RelayHandlers
+{
+  // The head of the response, before anything is sent to the client.
+  std::function<void(const EndpointResponseHead&)> onHead;
+  // A piece of an event stream, before it is sent to the client.
+  std::function<void(std::string_view)> onStreamPiece;
+  // The end of the exchange, once.
+  std::function<void(const EventOutcome&)> onDone;
+};
+
+class ResponseRelay : public std::enable_shared_from_this<ResponseRelay>
+{
+public:
+  ResponseRelay(EventClient& aClient,
+                const Dialect& aDialect,
+                std::shared_ptr<EventReply> aReply);
+  ResponseRelay(const ResponseRelay&) = delete;
+  ResponseRelay& operator=(const ResponseRelay&) = delete;
+
+  void Start(EventCall aCall, RelayHandlers aHandlers);
+  // Ends the exchange and its connection.
+  void Cancel();
+  // Sends a response that is no event stream to the client.
+  void SendWhole();
+
+  // Empty until the head has arrived.
+  const EndpointResponseHead& Head() const { return this->head; }
+  // The head of an event stream has been sent to the client.
+  bool IsStreaming() const { return this->streaming; }
+
+private:
+  void OnHeaders(const RelayHandlers& aHandlers,
+                 int aStatus,
+                 const HttpHeaders& aHeaders);
+  void BeginStream();
+  void OnData(const RelayHandlers& aHandlers, std::string_view aPiece);
+  void SendPiece(std::string_view aPiece);
+  void ResumeReading();
+
+  EventClient& client;
+  const Dialect& dialect;
+  std::shared_ptr<EventReply> reply;
+  EventClient::CallId exchange = 0;
+  EndpointResponseHead head;
+  std::string body;
+  bool streaming = false;
+  bool readPaused = false;
+};
+
+} // namespace tanagerseam
+
+#endif // TANAGERSEAM_GATEWAY_RESPONSE_RELAY_H_
