Own connections go to the calls that need them

A connection of its own for every call that may not be repeated, streams included, keeps all late responses away, and costs a connection a call.

Change: tools that may not be repeated keep their own connections, since their client has an unknown outcome otherwise; a turn, which its client repeats from the start, gets one for 10 s after an endpoint of its service has sent a response that nobody waited for.

--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -111,8 +111,8 @@
     this->call, *endpoint, name, body, endpointTimeout);
   out.timeout = remaining + Millis(50);
   out.connectTimeout = std::min(remaining, Millis(300));
-  // A failure on a kept connection could not be repaired by a retry.
-  out.ownConnection = this->route->kind != CallKind::kIdempotent;
+  out.ownConnection = this->state.connections.NeedsOwnConnection(
+    this->route->kind, this->service, BootNow());
   this->triedEndpoints.insert(this->endpointId);
   ++this->attempts;
   this->sentAt = BootNow();
@@ -181,6 +181,10 @@
     return;
   }
   this->connectionUse = aOutcome.connectionUse;
+  if (aOutcome.error == EventError::kForeignResponse ||
+      aOutcome.connectionUse.foundStrayBytes) {
+    this->state.connections.OnStrayResponse(this->service, BootNow());
+  }
   const std::string result = aOutcome.error == EventError::kNone
                                ? std::to_string(aOutcome.status)
                                : std::string(NameOf(aOutcome.error));
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "fleet/member_table.h"
+#include "gateway/connection_policy.h"
 #include "gateway/gateway.h"
 #include "gateway/peer_table.h"
 #include "gateway/turn_budgets.h"
@@ -53,6 +54,7 @@
   TurnBudgets turnBudgets;
   HistoryService history;
   PeerTable peers;
+  ConnectionPolicy connections;
   MemberTable members;
   // Calls in the dispatcher, queued or placed, by dispatch id.
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -103,6 +103,9 @@
   int earlierRequests = 0;
   // Time since the connection was opened.
   Millis age{ 0 };
+  // A kept connection held bytes that nobody had asked for, so the request went
+  // out on this one.
+  bool foundStrayBytes = false;
 };
 
 LogFields
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -16,6 +16,7 @@
   const curl_socket_t socket =
     exchange->sockets->Find(aPeerIp, aPeerPort, aLocalPort);
   exchange->connectionUse = exchange->sockets->BeginRequest(socket);
+  exchange->connectionUse.foundStrayBytes = exchange->foundStrayBytes;
   const WaitingInput input = exchange->sockets->InputOf(socket);
   const bool kept = exchange->connectionUse.earlierRequests > 0;
   if (!kept || input == WaitingInput::kNothing) {
@@ -25,6 +26,7 @@
     LogFields fields = LogFieldsOf(exchange->connectionUse);
     fields.emplace_back("peer", exchange->call.url);
     LogWarn("bytes_on_idle_connection", fields);
+    exchange->foundStrayBytes = true;
   }
   exchange->sockets->Discard(socket);
   exchange->mustStartAgain = true;
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -40,6 +40,7 @@
   bool mustStartAgain = false;
   // It was started again: no kept connection is tried any more.
   bool keptConnectionFailed = false;
+  bool foundStrayBytes = false;
   // Its handlers are not called any more.
   bool cancelled = false;
   bool foreign = false;
