RawEndpoint can send bytes late, where the next response is expected

Cause: the users' endpoints may respond to a request a second time, late; a RawEndpoint could only append a second response to the first. Change: PresetResponse::late names bytes that are sent once the next request on the connection was read, before its response, or after a delay while the connection is idle; in one write or in two. Responses without late bytes are sent as before.

--- a/gateway/testing/raw_peer.h
+++ b/gateway/testing/raw_peer.h
@@ -10,6 +10,7 @@
 #ifndef TANAGERSEAM_GATEWAY_TESTING_RAW_PEER_H_
 #define TANAGERSEAM_GATEWAY_TESTING_RAW_PEER_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,6 +47,28 @@
   return aResponse.size() < 12 ? 0 : std::stoi(aResponse.substr(9, 3));
 }
 
+// When a RawEndpoint sends the late bytes of a response.
+enum class LateTime
+{
+  // Once the next request on the connection was read, before its response.
+  kNextRequest,
+  // After a delay, while the connection is idle; with the next request if that
+  // is earlier.
+  kIdle,
+};
+
+// Bytes that an endpoint sends after a complete response, such as a second
+// response to the same request.
+struct LateBytes
+{
+  std::string bytes;
+  LateTime time = LateTime::kNextRequest;
+  // Applies to kIdle.
+  Millis delay{ 0 };
+  // Sends two halves, the second one a short time after the first.
+  bool split = false;
+};
+
 // What a RawEndpoint sends for one request.
 struct PresetResponse
 {
@@ -56,6 +79,8 @@
   bool close = false;
   // Closes with a TCP reset in place of an orderly shutdown.
   bool reset = false;
+  // Sent if the connection stays open.
+  LateBytes late = {};
 };
 
 class RawEndpoint
@@ -84,18 +109,25 @@
   int acceptedConnections = 0;
 
 private:
+  static constexpr Millis kLatePartGap{ 5 };
+
   struct Connection
   {
     explicit Connection(net::io_context& aIo)
       : socket(aIo)
       , timer(aIo)
+      , lateTimer(aIo)
     {
     }
     net::ip::tcp::socket socket;
     net::steady_timer timer;
+    net::steady_timer lateTimer;
     std::array<char, 4096> readBuffer{};
     std::string input;
     bool responding = false;
+    int requestCount = 0;
+    // Late bytes of the previous response that were not sent yet.
+    std::deque<std::string> lateParts;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -150,7 +182,60 @@
     const std::string request = aConnection->input.substr(0, completeLength);
     aConnection->input.erase(0, completeLength);
     this->requests.push_back(request);
-    this->Respond(aConnection, this->script(request));
+    ++aConnection->requestCount;
+    aConnection->lateTimer.cancel();
+    const PresetResponse response = this->script(request);
+    this->SendLateParts(aConnection, [this, aConnection, response] {
+      this->Respond(aConnection, response);
+    });
+  }
+
+  // Sends the late bytes of the previous response, then calls aDone. Stops if a
+  // request is read meanwhile: that request sends the rest.
+  void SendLateParts(const ConnectionPtr& aConnection,
+                     const std::function<void()>& aDone)
+  {
+    if (aConnection->lateParts.empty()) {
+      aDone();
+      return;
+    }
+    net::error_code ignored;
+    net::write(aConnection->socket,
+               net::buffer(aConnection->lateParts.front()),
+               ignored);
+    aConnection->lateParts.pop_front();
+    if (aConnection->lateParts.empty()) {
+      aDone();
+      return;
+    }
+    this->SendLatePartsAfter(kLatePartGap, aConnection, aDone);
+  }
+
+  void SendLatePartsAfter(Millis aDelay,
+                          const ConnectionPtr& aConnection,
+                          const std::function<void()>& aDone)
+  {
+    aConnection->lateTimer.expires_after(aDelay);
+    aConnection->lateTimer.async_wait(
+      [this, aConnection, aDone, count = aConnection->requestCount](
+        const auto& aError) {
+        if (!aError && aConnection->requestCount == count) {
+          this->SendLateParts(aConnection, aDone);
+        }
+      });
+  }
+
+  void KeepLateBytes(const ConnectionPtr& aConnection, const LateBytes& aLate)
+  {
+    const size_t firstLength =
+      aLate.split ? aLate.bytes.size() / 2 : aLate.bytes.size();
+    aConnection->lateParts.push_back(aLate.bytes.substr(0, firstLength));
+    if (aLate.split) {
+      aConnection->lateParts.push_back(aLate.bytes.substr(firstLength));
+    }
+    if (aLate.time == LateTime::kIdle) {
+      this->SendLatePartsAfter(aLate.delay, aConnection, [] {});
+    }
   }
 
   void Respond(const ConnectionPtr& aConnection,
@@ -186,6 +271,8 @@
     }
     if (aResponse.close || aResponse.reset) {
       aConnection->socket.close(ignored);
+    } else if (!aResponse.late.bytes.empty()) {
+      this->KeepLateBytes(aConnection, aResponse.late);
     }
   }
 
