The soak's checker judges the bytes that a client received

Cause: a complete response with a status other than 200 was not looked at, and a client took "HTTP/1.1 000 OK" for a refusal and repeated the call. A body cut or crossed in a turn also showed up again in each later turn of its program. Change: wrong_response covers bytes that begin no HTTP/1.1 response with a status of 200 to 599, the id of another call at any status, a foreign body at any success status, bytes after a response, and bytes while no call is under way. A client ends its program after such a response, so that it is reported once.

--- a/tests/soak/soak_client.cc
+++ b/tests/soak/soak_client.cc
@@ -125,9 +125,27 @@
   }
 }
 
+// Bytes that belong to no call would be taken for the next response.
+bool
+SoakClient::DropsConnectionWithStrayBytes()
+{
+  const std::string& received = this->connection->Received();
+  if (received.size() == this->consumed) {
+    return false;
+  }
+  this->checker.OnBytesWithoutCall(this->call.program,
+                                   received.substr(this->consumed));
+  this->connection.reset();
+  return true;
+}
+
 void
 SoakClient::Send(TimePoint aNow)
 {
+  if (this->connection && this->DropsConnectionWithStrayBytes()) {
+    this->Retry(aNow, kRetryDelay);
+    return;
+  }
   if (!this->connection || this->connection->Closed()) {
     this->Connect();
   }
@@ -189,44 +207,69 @@
   }
 }
 
+// Retries an incomplete response unless the call may have been executed and is
+// not idempotent.
+void
+SoakClient::OnIncompleteResponse(TimePoint aNow)
+{
+  this->connection.reset();
+  if (this->call.type == CallType::kCharge) {
+    this->EndProgram(aNow);
+  } else {
+    this->Retry(aNow, kRetryDelay);
+  }
+}
+
+bool
+SoakClient::CheckResponse(const std::string& aResponse,
+                          int aStatus,
+                          bool aComplete)
+{
+  const bool chunked = HeaderOf(aResponse, "Transfer-Encoding") == "chunked";
+  const std::string text =
+    chunked ? DecodeChunks(BodyOf(aResponse)) : BodyOf(aResponse);
+  const std::string& id = this->call.id;
+  const bool sound = this->checker.OnBytesReceived(id, aResponse);
+  const bool own =
+    this->checker.OnResponseReceived(id, aStatus, aComplete, text);
+  if (chunked) {
+    this->CountEvents(text);
+  }
+  return sound && own;
+}
+
 void
 SoakClient::PollResponse(TimePoint aNow)
 {
   const std::string response =
     this->connection->Received().substr(this->consumed);
-  const bool complete = IsCompleteResponse(response);
+  const bool sound = MayStartResponse(response);
+  const bool complete = sound && IsCompleteResponse(response);
   const bool timedOut =
     aNow > this->call.sentAt + kCallDeadline + kResponseGrace;
   const bool abandoned =
     this->abandonsCall && aNow > this->call.sentAt + Millis(30);
-  if (!complete && !timedOut && !abandoned && !this->connection->Closed()) {
+  const bool closed = this->connection->Closed();
+  if (sound && !complete && !timedOut && !abandoned && !closed) {
     return;
   }
   this->waiting = false;
-  const int status = StatusOf(response);
-  const bool chunked = HeaderOf(response, "Transfer-Encoding") == "chunked";
-  const std::string text =
-    chunked ? DecodeChunks(BodyOf(response)) : BodyOf(response);
-  this->checker.OnResponseReceived(this->call.id, status, complete, text);
-  if (chunked) {
-    this->CountEvents(text);
+  const int status = sound ? StatusOf(response) : 0;
+  if (!this->CheckResponse(response, status, complete)) {
+    // Reported once: the rest of the program would be wrong with it.
+    this->connection.reset();
+    this->EndProgram(aNow);
+    return;
   }
-  if (complete) {
-    this->consumed = this->connection->Received().size();
-    if (HeaderOf(response, "Connection") == "close") {
-      this->connection.reset();
-    }
-    this->OnCompleteResponse(status, aNow);
+  if (!complete) {
+    this->OnIncompleteResponse(aNow);
     return;
   }
-  // Retries an incomplete response unless the call may have been executed and
-  // is not idempotent.
-  this->connection.reset();
-  if (this->call.type == CallType::kCharge) {
-    this->EndProgram(aNow);
-  } else {
-    this->Retry(aNow, kRetryDelay);
+  this->consumed = this->connection->Received().size();
+  if (HeaderOf(response, "Connection") == "close") {
+    this->connection.reset();
   }
+  this->OnCompleteResponse(status, aNow);
 }
 
 void
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -46,8 +46,13 @@
   void Send(TimePoint aNow);
   std::string BuildRequest(const SentCall& aCall) const;
   void Connect();
+  // Reports bytes that arrived since the last response, if any.
+  bool DropsConnectionWithStrayBytes();
   void PollResponse(TimePoint aNow);
+  // Reports what was received to the checker and returns its verdict.
+  bool CheckResponse(const std::string& aResponse, int aStatus, bool aComplete);
   void OnCompleteResponse(int aStatus, TimePoint aNow);
+  void OnIncompleteResponse(TimePoint aNow);
   // Repeats the step after a delay; ends the program after kMaxAttempts.
   void Retry(TimePoint aNow, Millis aDelay);
   void AdvanceStep(TimePoint aNow);
--- a/tests/soak/soak_judge.cc
+++ b/tests/soak/soak_judge.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "tests/soak/soak_text.h"
+
 namespace tanagerseam::soak {
 
 namespace {
@@ -22,6 +24,32 @@
 // Statuses that guarantee that the call was not and will not be executed.
 const std::set<int> kNotExecutedStatuses = { 402, 408, 421, 429, 503 };
 
+// Longest part of a response that a violation shows.
+constexpr size_t kMaxShownBytes = 160;
+
+// aBytes in quotes, on one line.
+std::string
+Shown(const std::string& aBytes)
+{
+  std::string text = "'";
+  for (char byte : aBytes.substr(0, kMaxShownBytes)) {
+    text += byte == '\r' ? "\\r" : byte == '\n' ? "\\n" : std::string(1, byte);
+  }
+  return text + (aBytes.size() > kMaxShownBytes ? "...'" : "'");
+}
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+bool
+IsFinalStatus(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 600;
+}
+
 } // namespace
 
 std::string_view
@@ -114,7 +142,37 @@
   this->calls[aId].producedTexts.push_back(aText);
 }
 
+bool
+SoakChecker::OnBytesReceived(const std::string& aId, const std::string& aBytes)
+{
+  const CallRecord& record = this->calls[aId];
+  const bool headComplete = aBytes.find("\r\n\r\n") != std::string::npos;
+  const std::string answeredId =
+    headComplete ? HeaderOf(aBytes, "X-Request-Id") : "";
+  const size_t length = ResponseLength(aBytes);
+  std::string fault;
+  if (!MayStartResponse(aBytes)) {
+    fault = "no HTTP response: " + Shown(aBytes);
+  } else if (!answeredId.empty() && answeredId != aId) {
+    fault = "the response to " + answeredId;
+  } else if (length < aBytes.size()) {
+    fault = "more after the response: " + Shown(aBytes.substr(length));
+  }
+  if (!fault.empty()) {
+    this->AddViolation("wrong_response", record, fault);
+  }
+  return fault.empty();
+}
+
 void
+SoakChecker::OnBytesWithoutCall(const std::string& aProgram,
+                                const std::string& aBytes)
+{
+  this->ReportViolation("wrong_response: program " + aProgram +
+                        " received without a call: " + Shown(aBytes));
+}
+
+bool
 SoakChecker::OnResponseReceived(const std::string& aId,
                                 int aStatus,
                                 bool aComplete,
@@ -128,9 +186,16 @@
   const bool matches =
     std::find(producedTexts.begin(), producedTexts.end(), aText) !=
     producedTexts.end();
-  if (aStatus == 200 && aComplete && !matches) {
+  const bool foreign = aComplete && IsSuccess(aStatus) && !matches;
+  const bool noStatus = aComplete && !IsFinalStatus(aStatus);
+  if (foreign) {
     this->AddViolation(
-      "wrong_response", record, "not produced for this call: '" + aText + "'");
+      "wrong_response", record, "not produced for this call: " + Shown(aText));
+  }
+  if (noStatus) {
+    this->AddViolation("wrong_response",
+                       record,
+                       "complete with status " + std::to_string(aStatus));
   }
   const auto previousTurn = this->calls.find(record.call.previousTurn);
   const bool turnCompleted = previousTurn != this->calls.end() &&
@@ -142,6 +207,7 @@
                        "previous turn " + record.call.previousTurn +
                          " was completed, but got status 404");
   }
+  return !foreign && !noStatus;
 }
 
 void
--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -7,6 +7,7 @@
 //   checker.OnCallSent(call);             // by a client, before it sends
 //   checker.OnCallExecuted("a-1", "market", body, now);   // by an endpoint
 //   checker.OnResponseProduced("a-1", text);              // by an endpoint
+//   checker.OnBytesReceived("a-1", bytes);                // by a client
 //   checker.OnResponseReceived("a-1", 200, true, text);   // by a client
 //   for (const std::string& violation : checker.Violations()) { ... }
 //
@@ -15,8 +16,10 @@
 //   once.
 // - executed_after_refusal: such a call is never executed if its response was
 //   402, 408, 421, 429 or 503.
-// - wrong_response: a complete 200 response is one that an endpoint produced
-//   for that call.
+// - wrong_response: a client receives HTTP responses with a status from 200 to
+//   599 and with no other call's id, and nothing between them. A complete
+//   response with a success status is one that an endpoint produced for that
+//   call.
 // - wrong_request: an endpoint receives the history of a turn and its new
 //   input, or the body as it was sent, under the organisation of the key.
 // - lost_turn: no 404 for a turn whose previous turn was completed.
@@ -92,7 +95,14 @@
                       TimePoint aAt);
   // aText is the response body that the endpoint produced for the call.
   void OnResponseProduced(const std::string& aId, const std::string& aText);
-  void OnResponseReceived(const std::string& aId,
+  // aBytes are what a client received for the call, complete or not, as they
+  // came. False if they are not the call's own.
+  bool OnBytesReceived(const std::string& aId, const std::string& aBytes);
+  // aBytes arrived on the connection of aProgram while no call was under way.
+  void OnBytesWithoutCall(const std::string& aProgram,
+                          const std::string& aBytes);
+  // False if the response is not the call's own.
+  bool OnResponseReceived(const std::string& aId,
                           int aStatus,
                           bool aComplete,
                           const std::string& aText);
--- a/tests/soak/soak_judge_test.cc
+++ b/tests/soak/soak_judge_test.cc
@@ -102,6 +102,84 @@
   EXPECT_EQ(this->ViolatedInvariant(), "wrong_response");
 }
 
+// A cut head once passed for a success with status 0.
+TEST_F(SoakCheckerTest, ReportsBytesThatAreNoHttpResponse)
+{
+  const std::vector<std::string> responses = {
+    "HTTP/1.1 0 OK\r\n\r\n",
+    "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+    "HTTP/1.1 600 X\r\n\r\n",
+    "HTTP/1.1 2000 X\r\n\r\n",
+    "HTTP/1.0 200 OK\r\n\r\n",
+    "made for c-1",
+  };
+  this->Send("c-1", CallType::kCharge);
+  for (const std::string& response : responses) {
+    SCOPED_TRACE(response);
+    SoakChecker other(Settings());
+    EXPECT_FALSE(other.OnBytesReceived("c-1", response));
+    EXPECT_EQ(other.Violations().size(), 1U);
+  }
+  this->checker.OnBytesReceived("c-1", responses[0]);
+  EXPECT_EQ(this->ViolatedInvariant(), "wrong_response");
+}
+
+TEST_F(SoakCheckerTest, AcceptsEachBeginningOfOwnResponse)
+{
+  const std::string response = "HTTP/1.1 503 X\r\nX-Request-Id: c-1\r\n"
+                               "Content-Length: 4\r\n\r\nbusy";
+  this->Send("c-1", CallType::kCharge);
+  for (size_t length = 0; length <= response.size(); ++length) {
+    this->checker.OnBytesReceived("c-1", response.substr(0, length));
+  }
+  EXPECT_EQ(this->ViolatedInvariant(), "0 violations");
+}
+
+TEST_F(SoakCheckerTest, ReportsStatusThatNoResponseHas)
+{
+  this->Send("c-1", CallType::kCharge);
+  EXPECT_FALSE(this->checker.OnResponseReceived("c-1", 0, true, ""));
+  EXPECT_EQ(this->ViolatedInvariant(), "wrong_response");
+  EXPECT_FALSE(this->checker.OnResponseReceived("c-1", 600, true, ""));
+  EXPECT_EQ(this->ViolatedInvariant(), "2 violations");
+}
+
+TEST_F(SoakCheckerTest, ReportsEachSuccessStatusWithForeignBody)
+{
+  this->Send("c-1", CallType::kCharge);
+  this->Run("c-1");
+  EXPECT_FALSE(
+    this->checker.OnResponseReceived("c-1", 201, true, "made for c-2"));
+  EXPECT_EQ(this->ViolatedInvariant(), "wrong_response");
+}
+
+TEST_F(SoakCheckerTest, ReportsIdOfAnotherCallWhateverTheStatus)
+{
+  this->Send("c-1", CallType::kCharge);
+  this->checker.OnBytesReceived("c-1",
+                                "HTTP/1.1 503 X\r\nX-Request-Id: c-2\r\n"
+                                "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ(this->ViolatedInvariant(), "wrong_response");
+}
+
+TEST_F(SoakCheckerTest, ReportsBytesAfterResponse)
+{
+  const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  this->Send("c-1", CallType::kCharge);
+  EXPECT_FALSE(this->checker.OnBytesReceived(
+    "c-1", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone" + second));
+  EXPECT_EQ(this->ViolatedInvariant(), "wrong_response");
+  EXPECT_FALSE(this->checker.OnBytesReceived(
+    "c-1",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\ndone\r\n0\r\n\r\n" +
+      second));
+  EXPECT_EQ(this->ViolatedInvariant(), "2 violations");
+  this->checker.OnBytesWithoutCall("p", second);
+  EXPECT_EQ(this->ViolatedInvariant(), "3 violations");
+}
+
 TEST_F(SoakCheckerTest, ReportsAlteredBodyAndUnknownCall)
 {
   this->Send("t-1", CallType::kTurn);
