--- /dev/null
+++ b/tests/support/testing/free_port_test.cc
@@ -0,0 +1,77 @@
+// Ports handed out to tests, with real processes.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/support/free_port.h"
+#include "tests/support/testing/port_user.h"
+
+namespace tanagerseam::testing_support {
+namespace {
+
+constexpr int kPorts = 200;
+
+std::vector<uint16_t>
+AskForPorts()
+{
+  std::vector<uint16_t> ports;
+  for (int i = 0; i < kPorts; ++i) {
+    ports.push_back(FreePort());
+  }
+  return ports;
+}
+
+size_t
+CountCommon(const std::vector<uint16_t>& aLeft,
+            const std::vector<uint16_t>& aRight)
+{
+  const std::set<uint16_t> left(aLeft.begin(), aLeft.end());
+  size_t common = 0;
+  for (const uint16_t port : aRight) {
+    common += left.count(port);
+  }
+  return common;
+}
+
+// Regression test: fleet_config_test's last daemon ended with "bind: Address
+// already in use", since another test program had been given the same port
+// before the daemon bound it.
+TEST(FreePort, IsGivenToOneProcessOnlyThoughNoneHasBoundIt)
+{
+  // Forked processes go on from here, so their searches start at one offset.
+  std::vector<uint16_t> own = { FreePort() };
+  PortUser first(AskForPorts);
+  PortUser second(AskForPorts);
+  const std::vector<uint16_t> firstPorts = first.Ports();
+  const std::vector<uint16_t> secondPorts = second.Ports();
+  ASSERT_EQ(firstPorts.size(), size_t(kPorts));
+  ASSERT_EQ(secondPorts.size(), size_t(kPorts));
+  {
+    SCOPED_TRACE("two processes that search at the same time");
+    EXPECT_EQ(CountCommon(firstPorts, secondPorts), 0u);
+  }
+  {
+    SCOPED_TRACE("the process that forked them and searches after them");
+    const std::vector<uint16_t> more = AskForPorts();
+    own.insert(own.end(), more.begin(), more.end());
+    EXPECT_EQ(CountCommon(own, firstPorts), 0u);
+    EXPECT_EQ(CountCommon(own, secondPorts), 0u);
+  }
+}
+
+TEST(FreePort, IsGivenToOneThreadOnly)
+{
+  std::vector<uint16_t> firstPorts;
+  std::thread first([&firstPorts] { firstPorts = AskForPorts(); });
+  const std::vector<uint16_t> secondPorts = AskForPorts();
+  first.join();
+  const std::set<uint16_t> distinct(firstPorts.begin(), firstPorts.end());
+  EXPECT_EQ(distinct.size(), size_t(kPorts));
+  EXPECT_EQ(CountCommon(firstPorts, secondPorts), 0u);
+}
+
+} // namespace
+} // namespace tanagerseam::testing_support
