FreePort probes its ports for UDP too

Seen: a gateway's exchange port is bound by UDP alone (fleet/fleet_link.cc), but FreePort probed TCP alone, so a port in use by UDP passed for free. No test run is known to have failed of it. The new test, on the code before:

free_port_test.cc:114: Failure Expected equality of these values: CountCommon(ports, bound) Which is: 1 0u [ FAILED ] FreePort.IsFreeForUdpToo

Change: both are probed. After: test_support_test passed 31 times in a row beside other work.

--- a/tests/support/free_port.h
+++ b/tests/support/free_port.h
@@ -1,4 +1,4 @@
-// Allocates TCP ports for tests.
+// Allocates TCP and UDP ports for tests.
 //
 //   const uint16_t port = FreePort();
 //   const std::string address = LoopbackAddress(port);  // "127.0.0.1:PORT"
@@ -23,11 +23,11 @@
 // Not TMPDIR: test programs with different environments share the ports.
 constexpr const char* kPortLockFile = P_tmpdir "/tanagerseam-test-ports.lock";
 
-// Whether a socket can be bound to the port on 127.0.0.1.
+// Whether a socket of the type can be bound to the port on 127.0.0.1.
 inline bool
-IsUnbound(uint16_t aPort)
+IsUnbound(uint16_t aPort, int aType)
 {
-  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int probe = socket(AF_INET, aType | SOCK_CLOEXEC, 0);
   if (probe < 0) {
     throw std::runtime_error("no socket to probe a port");
   }
@@ -41,11 +41,11 @@
   return bound == 0;
 }
 
-// A TCP port of 127.0.0.1 that was free at the time of the call. It stays
-// reserved until this process ends: no other call of FreePort on the machine
-// returns it, though it is bound later, or never. Ports lie below the system's
-// ephemeral range, and the search starts at an offset derived from the process
-// id, so that test programs that run in parallel seldom meet. Throws
+// A port of 127.0.0.1 that was free for TCP and UDP at the time of the call. It
+// stays reserved until this process ends: no other call of FreePort on the
+// machine returns it, though it is bound later, or never. Ports lie below the
+// system's ephemeral range, and the search starts at an offset derived from the
+// process id, so that test programs that run in parallel seldom meet. Throws
 // std::runtime_error if the lock file cannot be used or no port is left.
 inline uint16_t
 FreePort()
@@ -62,12 +62,12 @@
     if (!reservations.Reserve(port)) {
       continue;
     }
-    if (IsUnbound(port)) {
+    if (IsUnbound(port, SOCK_STREAM) && IsUnbound(port, SOCK_DGRAM)) {
       return port;
     }
     reservations.Release(port);
   }
-  throw std::runtime_error("no free TCP port on 127.0.0.1 in 10000..31999");
+  throw std::runtime_error("no free port on 127.0.0.1 in 10000..31999");
 }
 
 // "IP:port" of a port of 127.0.0.1.
--- a/tests/support/testing/free_port_test.cc
+++ b/tests/support/testing/free_port_test.cc
@@ -1,6 +1,10 @@
 // Ports handed out to tests, with real processes.
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <set>
 #include <string>
 #include <thread>
@@ -36,6 +40,21 @@
   return common;
 }
 
+// Throws std::runtime_error if the port cannot be bound.
+uint16_t
+BindToFreePort(int aSocket)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(FreePort());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (bind(aSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+      0) {
+    throw std::runtime_error("cannot bind a socket to a port that was free");
+  }
+  return ntohs(address.sin_port);
+}
+
 // Regression test: fleet_config_test's last daemon ended with "bind: Address
 // already in use", since another test program had been given the same port
 // before the daemon bound it.
@@ -73,5 +92,27 @@
   EXPECT_EQ(CountCommon(firstPorts, secondPorts), 0u);
 }
 
+// Regression test: daemons bind TCP and UDP at one port, and only TCP was
+// probed.
+TEST(FreePort, IsFreeForUdpToo)
+{
+  // Forked processes go on from here, so their searches start at one offset.
+  FreePort();
+  // The first process binds its port to a socket that outlives it, so that the
+  // port is bound and no longer reserved.
+  const int udp = socket(AF_INET, SOCK_DGRAM, 0);
+  ASSERT_GE(udp, 0);
+  PortUser first(
+    [udp] { return std::vector<uint16_t>{ BindToFreePort(udp) }; });
+  const std::vector<uint16_t> bound = first.Ports();
+  ASSERT_EQ(bound.size(), 1u);
+  first.Kill();
+  PortUser second(AskForPorts);
+  const std::vector<uint16_t> ports = second.Ports();
+  close(udp);
+  ASSERT_EQ(ports.size(), size_t(kPorts));
+  EXPECT_EQ(CountCommon(ports, bound), 0u);
+}
+
 } // namespace
 } // namespace tanagerseam::testing_support
