FreePort keeps out of the system's ephemeral range

Seen: FreePort relied on a comment for lying below the ephemeral range. No test run is known to have failed of it, and it was not reproduced: the range is a setting of the system, which the tests don't change. Change: the range is read, and ports on the larger side of it are searched. If none is left, or the range can't be read, FreePort throws with the numbers. The search range is a function of its own, tested with ranges that overlap at either end, in the middle and wholly.

--- a/tests/support/testing/free_port_test.cc
+++ b/tests/support/testing/free_port_test.cc
@@ -114,5 +114,57 @@
   EXPECT_EQ(CountCommon(ports, bound), 0u);
 }
 
+TEST(FreePort, LiesOutsideTheEphemeralRange)
+{
+  const PortRange ephemeral = ReadPortRange(kEphemeralRangeFile);
+  for (const uint16_t port : AskForPorts()) {
+    EXPECT_TRUE(port < ephemeral.first || port > ephemeral.last) << port;
+  }
+}
+
+// Regression test: where the system's ephemeral range reaches into FreePort's,
+// an outgoing connection or a bind of port 0 could take a port that a test had
+// been given.
+TEST(FreePortRange, LeavesOutTheEphemeralRange)
+{
+  const auto search = [](uint16_t aFirst, uint16_t aLast) {
+    const PortRange range = PortsToSearch({ aFirst, aLast });
+    return std::make_pair(int(range.first), int(range.last));
+  };
+  EXPECT_EQ(search(32768, 60999), std::make_pair(10000, 31999));
+  EXPECT_EQ(search(1024, 4999), std::make_pair(10000, 31999));
+  {
+    SCOPED_TRACE("an overlap at one end");
+    EXPECT_EQ(search(15000, 65535), std::make_pair(10000, 14999));
+    EXPECT_EQ(search(1024, 20000), std::make_pair(20001, 31999));
+  }
+  {
+    SCOPED_TRACE("an overlap in the middle leaves the larger side");
+    EXPECT_EQ(search(12000, 14000), std::make_pair(14001, 31999));
+    EXPECT_EQ(search(30000, 31000), std::make_pair(10000, 29999));
+  }
+  {
+    SCOPED_TRACE("no port left");
+    try {
+      search(1024, 65535);
+      ADD_FAILURE() << "an ephemeral range that holds all of FreePort's ports";
+    } catch (const std::runtime_error& error) {
+      EXPECT_EQ(std::string(error.what()),
+                "the system's ephemeral ports 1024..65535 leave no test port "
+                "in 10000..31999");
+    }
+  }
+}
+
+TEST(FreePortRange, SaysThatTheEphemeralRangeIsUnknown)
+{
+  try {
+    ReadPortRange("/dev/null");
+    ADD_FAILURE() << "a range read from an empty file";
+  } catch (const std::runtime_error& error) {
+    EXPECT_EQ(std::string(error.what()), "no port range in /dev/null");
+  }
+}
+
 } // namespace
 } // namespace tanagerseam::testing_support
