--- a/tests/support/testing/free_port_test.cc
+++ b/tests/support/testing/free_port_test.cc
@@ -11,17 +11,17 @@
 #include <vector>
 
 #include "tests/support/free_port.h"
-#include "tests/support/testing/port_user.h"
+#include "tests/support/testing/forked_process.h"
 
 namespace tanagerseam::testing_support {
 namespace {
 
 constexpr int kPorts = 200;
 
-std::vector<uint16_t>
+std::vector<int>
 AskForPorts()
 {
-  std::vector<uint16_t> ports;
+  std::vector<int> ports;
   for (int i = 0; i < kPorts; ++i) {
     ports.push_back(FreePort());
   }
@@ -29,12 +29,11 @@
 }
 
 size_t
-CountCommon(const std::vector<uint16_t>& aLeft,
-            const std::vector<uint16_t>& aRight)
+CountCommon(const std::vector<int>& aLeft, const std::vector<int>& aRight)
 {
-  const std::set<uint16_t> left(aLeft.begin(), aLeft.end());
+  const std::set<int> left(aLeft.begin(), aLeft.end());
   size_t common = 0;
-  for (const uint16_t port : aRight) {
+  for (const int port : aRight) {
     common += left.count(port);
   }
   return common;
@@ -61,11 +60,11 @@
 TEST(FreePort, IsGivenToOneProcessOnlyThoughNoneHasBoundIt)
 {
   // Forked processes go on from here, so their searches start at one offset.
-  std::vector<uint16_t> own = { FreePort() };
-  PortUser first(AskForPorts);
-  PortUser second(AskForPorts);
-  const std::vector<uint16_t> firstPorts = first.Ports();
-  const std::vector<uint16_t> secondPorts = second.Ports();
+  std::vector<int> own = { FreePort() };
+  ForkedProcess first(AskForPorts);
+  ForkedProcess second(AskForPorts);
+  const std::vector<int> firstPorts = first.Reports();
+  const std::vector<int> secondPorts = second.Reports();
   ASSERT_EQ(firstPorts.size(), size_t(kPorts));
   ASSERT_EQ(secondPorts.size(), size_t(kPorts));
   {
@@ -74,7 +73,7 @@
   }
   {
     SCOPED_TRACE("the process that forked them and searches after them");
-    const std::vector<uint16_t> more = AskForPorts();
+    const std::vector<int> more = AskForPorts();
     own.insert(own.end(), more.begin(), more.end());
     EXPECT_EQ(CountCommon(own, firstPorts), 0u);
     EXPECT_EQ(CountCommon(own, secondPorts), 0u);
@@ -83,11 +82,11 @@
 
 TEST(FreePort, IsGivenToOneThreadOnly)
 {
-  std::vector<uint16_t> firstPorts;
+  std::vector<int> firstPorts;
   std::thread first([&firstPorts] { firstPorts = AskForPorts(); });
-  const std::vector<uint16_t> secondPorts = AskForPorts();
+  const std::vector<int> secondPorts = AskForPorts();
   first.join();
-  const std::set<uint16_t> distinct(firstPorts.begin(), firstPorts.end());
+  const std::set<int> distinct(firstPorts.begin(), firstPorts.end());
   EXPECT_EQ(distinct.size(), size_t(kPorts));
   EXPECT_EQ(CountCommon(firstPorts, secondPorts), 0u);
 }
@@ -102,13 +101,13 @@
   // port is bound and no longer reserved.
   const int udp = socket(AF_INET, SOCK_DGRAM, 0);
   ASSERT_GE(udp, 0);
-  PortUser first(
-    [udp] { return std::vector<uint16_t>{ BindToFreePort(udp) }; });
-  const std::vector<uint16_t> bound = first.Ports();
+  ForkedProcess first(
+    [udp] { return std::vector<int>{ BindToFreePort(udp) }; });
+  const std::vector<int> bound = first.Reports();
   ASSERT_EQ(bound.size(), 1u);
   first.Kill();
-  PortUser second(AskForPorts);
-  const std::vector<uint16_t> ports = second.Ports();
+  ForkedProcess second(AskForPorts);
+  const std::vector<int> ports = second.Reports();
   close(udp);
   ASSERT_EQ(ports.size(), size_t(kPorts));
   EXPECT_EQ(CountCommon(ports, bound), 0u);
@@ -117,7 +116,7 @@
 TEST(FreePort, LiesOutsideTheEphemeralRange)
 {
   const PortRange ephemeral = ReadPortRange(kEphemeralRangeFile);
-  for (const uint16_t port : AskForPorts()) {
+  for (const int port : AskForPorts()) {
     EXPECT_TRUE(port < ephemeral.first || port > ephemeral.last) << port;
   }
 }
--- a/tests/support/testing/port_reservations_test.cc
+++ b/tests/support/testing/port_reservations_test.cc
@@ -8,7 +8,7 @@
 
 #include <filesystem>
 
-#include "tests/support/testing/port_user.h"
+#include "tests/support/testing/forked_process.h"
 
 namespace tanagerseam::testing_support {
 namespace {
@@ -42,11 +42,10 @@
   PortReservations mine(this->path);
   ASSERT_TRUE(mine.Reserve(kOtherPort));
   // It inherits the descriptor.
-  PortUser forked([&mine] {
-    return mine.Reserve(kPort) ? std::vector<uint16_t>{ kPort }
-                               : std::vector<uint16_t>{};
+  ForkedProcess forked([&mine] {
+    return mine.Reserve(kPort) ? std::vector<int>{ kPort } : std::vector<int>{};
   });
-  ASSERT_EQ(forked.Ports().size(), 1u);
+  ASSERT_EQ(forked.Reports().size(), 1u);
   {
     SCOPED_TRACE("its port is refused to others while it lives");
     EXPECT_FALSE(mine.Reserve(kPort));
@@ -59,9 +58,9 @@
   {
     SCOPED_TRACE("its end released no port of its parent");
     // It opens the file itself.
-    PortUser another([this] {
+    ForkedProcess another([this] {
       PortReservations own(this->path);
-      std::vector<uint16_t> granted;
+      std::vector<int> granted;
       for (const uint16_t port : { kPort, kOtherPort, kThirdPort }) {
         if (own.Reserve(port)) {
           granted.push_back(port);
@@ -69,7 +68,7 @@
       }
       return granted;
     });
-    EXPECT_EQ(another.Ports(), std::vector<uint16_t>{ kThirdPort });
+    EXPECT_EQ(another.Reports(), std::vector<int>{ kThirdPort });
   }
 }
 
