ChildProcess gives each child a process group of its own

Seen: daemons that a test had paused (SIGSTOP) ended by signal 1, in fleet_rate_test and calls_nonrepeatable_test. Cause: children were started in the test's process group. When the shell whose job the test is ends, that group is orphaned; if a member is stopped, the kernel sends SIGHUP and SIGCONT to all of it.

Change: setpgid in child and parent. A child's group stays connected through its parent, the test, for as long as that lives. Limits: a test program without a handler of SIGHUP was itself ended by that signal before; now no member of its group is stopped by ChildProcess::Pause.

--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -30,6 +30,7 @@
   if (getppid() != aParent) {
     _exit(kCannotRun);
   }
+  setpgid(0, 0);
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
@@ -86,6 +87,9 @@
   if (this->id == 0) {
     RunProgram(arguments.data(), aLogPath.c_str(), parent);
   }
+  // Parent and child both set the group, so that it is set whichever runs
+  // first. This call fails if the program runs already, and has its group then.
+  setpgid(this->id, this->id);
 }
 
 ChildProcess::~ChildProcess()
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -21,7 +21,9 @@
 ProgramPath(const std::string& aName);
 
 // The kernel kills the process when the thread that started it ends, so start
-// processes from a thread that outlives them. Not thread-safe.
+// processes from a thread that outlives them. Each process has a process group
+// of its own: in the test's group a paused process would get SIGHUP from the
+// kernel when the shell that started the test ends. Not thread-safe.
 class ChildProcess
 {
 public:
