A read pause does not outlast the resumption that was asked for after it

Cause: Pause, called from libcurl's callback, was put off to the loop, while a resumption that the loop ran first took effect at once; the pause came behind it and nothing was read until the call timed out.

Change: the exchange keeps what was asked for last, and that is applied.

Evidence: EventClientTest.AResumptionThatIsRequestedLastEndsThePause fails before, passes after.

--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -199,6 +199,21 @@
     return easy;
   }
 
+  // Pauses or resumes as was asked for last.
+  void ApplyPause(uint64_t aId)
+  {
+    auto found = this->exchanges.find(aId);
+    if (found == this->exchanges.end()) {
+      return;
+    }
+    const bool paused = found->second->pauseWanted;
+    this->inside = true;
+    curl_easy_pause(found->second->easy,
+                    paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    this->inside = false;
+    this->Finish();
+  }
+
   // libcurl asks for a timer of 0 ms and starts from there.
   void Add(uint64_t aId)
   {
@@ -265,15 +280,12 @@
   if (found == self.exchanges.end()) {
     return;
   }
+  found->second->pauseWanted = aPaused;
   if (self.inside) {
-    asio::post(self.io, [this, aId, aPaused] { this->Pause(aId, aPaused); });
-    return;
+    asio::post(self.io, [this, aId] { this->impl->ApplyPause(aId); });
+  } else {
+    self.ApplyPause(aId);
   }
-  self.inside = true;
-  curl_easy_pause(found->second->easy,
-                  aPaused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
-  self.inside = false;
-  self.Finish();
 }
 
 size_t
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -41,6 +41,8 @@
   // It was started again: no kept connection is tried any more.
   bool keptConnectionFailed = false;
   bool foundStrayBytes = false;
+  // Reading is to be paused; applied once libcurl may be called.
+  bool pauseWanted = false;
   // Its handlers are not called any more.
   bool cancelled = false;
   bool foreign = false;
--- a/http/testing/event_client_test.cc
+++ b/http/testing/event_client_test.cc
@@ -298,6 +298,40 @@
   }
 }
 
+// Guards against a pause that takes effect after the resumption that followed
+// it: nothing was read any more until the call timed out.
+TEST_F(EventClientTest, AResumptionThatIsRequestedLastEndsThePause)
+{
+  RawEndpoint server(this->io, [](const std::string&) {
+    PresetResponse response;
+    response.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n1";
+    response.delay = Millis(20);
+    response.delayedBytes = "2";
+    return response;
+  });
+  EventClient::CallId id = 0;
+  bool paused = false;
+  bool done = false;
+  EventCall call;
+  call.url = "http://" + server.Address();
+  call.target = "/";
+  EventHandlers handlers;
+  handlers.onData = [&](std::string_view) {
+    if (!std::exchange(paused, true)) {
+      // As if the client's bytes had left before this handler returns.
+      restinio::asio_ns::post(this->io, [&] { this->client.Pause(id, false); });
+      this->client.Pause(id, true);
+    }
+    return true;
+  };
+  handlers.onDone = [&](const EventOutcome& aOutcome) {
+    done = aOutcome.error == EventError::kNone;
+  };
+  id = this->client.Start(std::move(call), std::move(handlers));
+  this->RunFor(Millis(300));
+  EXPECT_TRUE(done);
+}
+
 // Guards against a handler that is destroyed while it runs: one that cancelled
 // its own call lost all that it had captured.
 TEST_F(EventClientTest, AHandlerThatCancelsItsCallOutlivesThat)
