An event stream of a call that was not executed is a refusal

What users could see: the gateway process ended. An endpoint that sent a success with an event stream and, in its head, the statement that it had not executed the call had the head passed on; the call was then refused or retried on the same reply, and RESTinio's exception ("connection already moved") left the loop.

Cause: the relay decided on the status alone, the call on the statement first. Change: such a response is not streamed. A reply that is begun twice all the same is broken off with a line reply_begun_twice in place of an exception.

--- a/gateway/response_relay.cc
+++ b/gateway/response_relay.cc
@@ -69,7 +69,8 @@
   if (aHandlers.onHead) {
     aHandlers.onHead(this->head);
   }
-  if (IsSuccess(aStatus) && this->head.isEventStream) {
+  if (IsSuccess(aStatus) && this->head.isEventStream &&
+      !this->head.notExecuted) {
     this->BeginStream();
   }
 }
--- a/gateway/response_relay.h
+++ b/gateway/response_relay.h
@@ -7,10 +7,11 @@
 //   relay->Start(std::move(call), std::move(handlers));
 //
 // One relay carries one exchange. The head of a successful event stream and its
-// pieces go to the client as they arrive; any other response is kept until
-// SendWhole. How a stream ends is up to the owner: the relay neither ends nor
-// breaks off the reply. The client owns the handlers until the exchange ends,
-// so they may hold references to the owner.
+// pieces go to the client as they arrive, unless the endpoint says that it did
+// not execute the call; any other response is kept until SendWhole. How a
+// stream ends is up to the owner: the relay neither ends nor breaks off the
+// reply. The client owns the handlers until the exchange ends, so they may hold
+// references to the owner.
 //
 // Backpressure: reading pauses while more than kMaxUnsentBytes wait to be sent
 // to the client.
--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -150,5 +150,42 @@
   EXPECT_FALSE(IsCompleteResponse(response));
 }
 
+// Guards against an event stream that says that the call was not executed: its
+// head had gone to the client when the call was refused or retried, and the
+// second head ended the process.
+class StreamOfACallThatWasNotExecuted : public GatewayTest
+{
+protected:
+  static PresetResponse Respond(const std::string& aRequest)
+  {
+    std::string head = MakeStreamHead(aRequest);
+    head.insert(head.size() - 2, "X-Not-Executed: 1\r\n");
+    return { head + Chunk("id: 1\ndata: one\n\n") + "0\r\n\r\n" };
+  }
+};
+
+TEST_F(StreamOfACallThatWasNotExecuted, IsARefusal)
+{
+  RawEndpoint engine(this->io, Respond);
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  const std::string response =
+    this->SendAndReceive(this->host, this->TurnRequest("t-1", "", "x"));
+  EXPECT_EQ(StatusOf(response), 503) << response;
+}
+
+TEST_F(StreamOfACallThatWasNotExecuted, IsNoObstacleToARetry)
+{
+  RawEndpoint one(this->io, Respond);
+  RawEndpoint two(this->io, Respond);
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("t-1", "tools", one.Address());
+  this->host.AddEndpoint("t-2", "tools", two.Address());
+  const std::string response =
+    this->SendAndReceive(this->host, this->Request("GET", "/look/1", "r-1"));
+  EXPECT_EQ(StatusOf(response), 503) << response;
+  EXPECT_EQ(one.requests.size() + two.requests.size(), 2u);
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -77,6 +77,11 @@
             const HttpHeaders& aHeaders,
             std::string aBody) override
   {
+    if (this->chunks) {
+      LogError("reply_begun_twice", {});
+      this->Break();
+      return;
+    }
     if (!this->Finish()) {
       return;
     }
@@ -91,6 +96,11 @@
 
   void Begin(int aStatus, const HttpHeaders& aHeaders) override
   {
+    if (this->ended || this->chunks) {
+      LogError("reply_begun_twice", {});
+      this->Break();
+      return;
+    }
     this->chunks = std::make_unique<ChunkBuilder>(
       this->request->create_response<restinio::chunked_output_t>(
         EventStatusLine(aStatus)));
