EventServer answers in turn, and ends no response by accident

Causes: - RESTinio 0.6.16 with one pipelined request reads a connection's next request after the one before was answered. An answer given within its request handler makes it do so twice, the second time with a parser set to the start. So the second half of a request sent ahead was read as a request of its own, broken input was told 400 in the place of a request still worked on, and the read timeout and Break cut a response still being written. Handlers now run from the loop, one turn later; an exception of theirs breaks the request off. - A close with unread input is a reset and destroys what the client has not read of its last response. A connection that ends with an answer, or by Break, lingers now as it did after broken input. - HEAD, 204 and 304 got the body, HTTP/1.0 the chunks. Such streams are sent as one whole response at their end. - A status below 200 or of more than three digits is not sent; the request is broken off. - Headers of the framing, and names or values that are no header, are left out. - A late Begin or Send threw out of the caller's callback; it does nothing now, and a second head within a response breaks the response off.

--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
 #include <restinio/all.hpp>
 
 #include "http/guarded_socket.h"
@@ -19,6 +20,14 @@
 // Never leaves the host: its connection is shut down before.
 constexpr int kUnanswered = 503;
 constexpr int kBadRequest = 400;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+// A status below the first asks the client to wait for another response; one
+// above the last has more than three digits.
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 999;
+// Of a stream that is kept until its end.
+constexpr size_t kMaxGatheredBytes = 16u << 20;
 // Longer than any request may take: its handler keeps the time.
 constexpr Millis kHandleTimeout(3600000);
 
@@ -43,6 +52,51 @@
     aStatus < 400 ? "OK" : "Refused");
 }
 
+bool
+IsFinalStatus(int aStatus)
+{
+  return aStatus >= kFirstFinalStatus && aStatus <= kLastStatus;
+}
+
+// A character of a header's name.
+bool
+IsTokenCharacter(unsigned char aByte)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return std::isalnum(aByte) != 0 ||
+         kMarks.find(static_cast<char>(aByte)) != std::string_view::npos;
+}
+
+bool
+IsSoundHeader(const std::string& aName, const std::string& aValue)
+{
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(), IsTokenCharacter) &&
+         aValue.find_first_of(std::string("\r\n\0", 3)) == std::string::npos;
+}
+
+// Headers that belong to one connection; RESTinio sets them.
+bool
+IsFramingHeader(const std::string& aName)
+{
+  constexpr const char* kNames[] = {
+    "Connection", "Content-Length",    "Keep-Alive",
+    "Trailer",    "Transfer-Encoding", "Upgrade",
+  };
+  return std::any_of(
+    std::begin(kNames), std::end(kNames), [&aName](const char* aFraming) {
+      return EqualsIgnoringCase(aName, aFraming);
+    });
+}
+
+// A stream that is sent as a whole response at its end.
+struct GatheredStream
+{
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+};
+
 // State that replies share with their server.
 struct ServerState
 {
@@ -77,20 +131,30 @@
             const HttpHeaders& aHeaders,
             std::string aBody) override
   {
-    if (!this->Finish()) {
+    // A response that has begun can't get another head.
+    if (!IsFinalStatus(aStatus) || this->Begun()) {
+      this->Break();
       return;
     }
-    WholeBuilder builder =
-      this->request->create_response(EventStatusLine(aStatus));
-    this->AddHeaders(builder, aHeaders);
-    if (this->request->header().method() != restinio::http_method_head()) {
-      builder.set_body(std::move(aBody));
+    if (!this->Finish()) {
+      return;
     }
-    builder.done(this->WhenWritten());
+    this->SendWhole(aStatus, aHeaders, std::move(aBody));
   }
 
   void Begin(int aStatus, const HttpHeaders& aHeaders) override
   {
+    if (!IsFinalStatus(aStatus) || this->Begun()) {
+      this->Break();
+      return;
+    }
+    if (this->ended) {
+      return;
+    }
+    if (!this->MayHaveBody(aStatus) || !this->KnowsChunks()) {
+      this->gathered = GatheredStream{ aStatus, aHeaders, "" };
+      return;
+    }
     this->chunks = std::make_unique<ChunkBuilder>(
       this->request->create_response<restinio::chunked_output_t>(
         EventStatusLine(aStatus)));
@@ -104,6 +168,10 @@
     if (this->ended || aPiece.empty()) {
       return;
     }
+    if (this->gathered) {
+      this->Gather(aPiece);
+      return;
+    }
     const size_t size = aPiece.size();
     this->chunks->append_chunk(std::move(aPiece));
     this->Flush(size);
@@ -114,6 +182,12 @@
     if (!this->Finish()) {
       return;
     }
+    if (this->gathered) {
+      this->SendWhole(this->gathered->status,
+                      this->gathered->headers,
+                      std::move(this->gathered->body));
+      return;
+    }
     this->chunks->done(this->WhenWritten());
     this->chunks.reset();
   }
@@ -147,6 +221,46 @@
   }
 
 private:
+  bool Begun() const { return this->chunks || this->gathered; }
+
+  bool MayHaveBody(int aStatus) const
+  {
+    return this->request->header().method() != restinio::http_method_head() &&
+           aStatus != kNoContent && aStatus != kNotModified;
+  }
+
+  // RESTinio does not tell the version. Without a Connection header only an
+  // HTTP/1.0 connection ends after its answer; with one the versions look
+  // alike.
+  bool KnowsChunks() const
+  {
+    const auto& header = this->request->header();
+    return header.should_keep_alive() || header.has_field("Connection");
+  }
+
+  void Gather(const std::string& aPiece)
+  {
+    if (!this->MayHaveBody(this->gathered->status)) {
+      return;
+    }
+    if (this->gathered->body.size() + aPiece.size() > kMaxGatheredBytes) {
+      this->Break();
+      return;
+    }
+    this->gathered->body += aPiece;
+  }
+
+  void SendWhole(int aStatus, const HttpHeaders& aHeaders, std::string aBody)
+  {
+    WholeBuilder builder =
+      this->request->create_response(EventStatusLine(aStatus));
+    this->AddHeaders(builder, aHeaders);
+    if (this->MayHaveBody(aStatus)) {
+      builder.set_body(std::move(aBody));
+    }
+    builder.done(this->WhenWritten());
+  }
+
   // False if the answer had ended before.
   bool Finish()
   {
@@ -207,7 +321,11 @@
   void AddHeaders(Builder& aBuilder, const HttpHeaders& aHeaders)
   {
     for (const auto& header : aHeaders) {
-      aBuilder.append_header(header.first, header.second);
+      // A response keeps its place and length whatever an endpoint sent.
+      if (IsSoundHeader(header.first, header.second) &&
+          !IsFramingHeader(header.first)) {
+        aBuilder.append_header(header.first, header.second);
+      }
     }
     const bool keep = this->request->header().should_keep_alive() &&
                       !this->state->closing && !this->closeAfter;
@@ -222,6 +340,8 @@
   std::shared_ptr<ConnectionWatch> watch;
   std::shared_ptr<ServerState> state;
   std::unique_ptr<ChunkBuilder> chunks;
+  // In place of `chunks`, if the client can't take any.
+  std::optional<GatheredStream> gathered;
   std::function<void()> onDrained;
   // Keeps the reply until what was handed over has been written.
   std::shared_ptr<LoopReply> breakWhenWritten;
@@ -230,15 +350,6 @@
   bool ended = false;
 };
 
-// A character of a header's name.
-bool
-IsTokenCharacter(unsigned char aByte)
-{
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return std::isalnum(aByte) != 0 ||
-         kMarks.find(static_cast<char>(aByte)) != std::string_view::npos;
-}
-
 // The parser lets names with blanks and folded values pass, which others read
 // in another way.
 bool
@@ -246,11 +357,7 @@
 {
   bool sound = true;
   aRequest->header().for_each_field([&sound](const auto& aField) {
-    const auto& name = aField.name();
-    const auto& value = aField.value();
-    sound = sound && !name.empty() &&
-            std::all_of(name.begin(), name.end(), IsTokenCharacter) &&
-            value.find_first_of(std::string("\r\n\0", 3)) == std::string::npos;
+    sound = sound && IsSoundHeader(aField.name(), aField.value());
   });
   return sound;
 }
@@ -268,6 +375,19 @@
   return request;
 }
 
+void
+HandOn(const EventHandler& aHandler,
+       EventRequest aRequest,
+       const std::shared_ptr<LoopReply>& aReply)
+{
+  try {
+    aHandler(std::move(aRequest), aReply);
+  } catch (const std::exception& error) {
+    LogWarn("handler_failed", { { "detail", error.what() } });
+    aReply->Break();
+  }
+}
+
 } // namespace
 
 struct EventServer::Impl
@@ -276,7 +396,8 @@
 
   restinio::asio_ns::io_context& io;
   EventServerSettings settings;
-  EventHandler handler;
+  // Shared with requests that wait for their turn on the loop.
+  std::shared_ptr<const EventHandler> handler;
   std::shared_ptr<ServerState> state = std::make_shared<ServerState>();
   std::unique_ptr<Server> server;
 
@@ -285,7 +406,7 @@
        EventHandler aHandler)
     : io(aIo)
     , settings(std::move(aSettings))
-    , handler(std::move(aHandler))
+    , handler(std::make_shared<const EventHandler>(std::move(aHandler)))
   {
   }
 
@@ -304,7 +425,18 @@
       reply->Send(kBadRequest, {}, "");
       return restinio::request_accepted();
     }
-    this->handler(ToEventRequest(aRequest), reply);
+    // RESTinio must not see an answer before this function returns: it would
+    // read the connection's next request twice, here and once the answer has
+    // been written.
+    restinio::asio_ns::post(
+      this->io,
+      [weak = std::weak_ptr<const EventHandler>(this->handler),
+       request = ToEventRequest(aRequest),
+       reply]() mutable {
+        if (const auto handler = weak.lock()) {
+          HandOn(*handler, std::move(request), reply);
+        }
+      });
     return restinio::request_accepted();
   }
 
--- a/http/guarded_socket.cc
+++ b/http/guarded_socket.cc
@@ -132,6 +132,9 @@
                                 text.size(),
                                 MSG_DONTWAIT | MSG_NOSIGNAL);
     this->answered = sent > 0;
+  } else if (fault == InputFault::kNone) {
+    // What the caller sent ahead must not turn the close into a reset.
+    this->answered = this->lastWasWrite;
   }
   Base::shutdown(this->answered ? shutdown_send : aHow, aError);
 }
@@ -204,10 +207,19 @@
 {
   this->End();
   if (this->socket != nullptr) {
-    ::shutdown(this->socket->native_handle(), SHUT_RDWR);
+    this->socket->EndWriting();
   }
 }
 
+void
+GuardedSocket::EndWriting()
+{
+  // Unread input must not turn the close into a reset, which would destroy the
+  // answers before.
+  this->answered = true;
+  ::shutdown(this->native_handle(), SHUT_WR);
+}
+
 std::shared_ptr<ConnectionWatch>
 GuardedSocket::Watch()
 {
--- a/http/guarded_socket.h
+++ b/http/guarded_socket.h
@@ -11,12 +11,14 @@
 //      fault and sends the answer. Without a note the fault is a timeout if
 //      bytes of a request have come;
 //   3. RESTinio calls close(); the connection lingers until the caller has read
-//      the answer, so that a reset does not destroy it.
+//      the answer, so that a reset does not destroy it. So does a connection
+//      that ends with a whole answer.
 //
 // Invariant: an answer is sent only while no request of the connection is being
 // handled or answered. It rests on two facts: RESTinio, with one pipelined
-// request, reads on only after the answer before; and `partial` is cleared when
-// a request is taken and when an answer is written.
+// request, reads on only after the answer before, if no answer is given within
+// its request handler; and `partial` is cleared when a request is taken and
+// when an answer is written.
 //
 // Cost: one flag for each connection; a lingering connection holds one buffer
 // of kLingerBuffer for at most kLingerTime, and at most kMaxLingering do.
@@ -130,6 +132,7 @@
   template<typename Buffers, typename Handler>
   void async_read_some(const Buffers& aBuffers, Handler&& aHandler)
   {
+    this->lastWasWrite = false;
     auto executor = restinio::asio_ns::get_associated_executor(aHandler);
     auto guarded = [this, handler = std::forward<Handler>(aHandler)](
                      const Error& aError, size_t aLength) mutable {
@@ -151,6 +154,7 @@
   auto async_write_some(const Buffers& aBuffers, Handler&& aHandler)
   {
     this->partial = false;
+    this->lastWasWrite = true;
     auto executor = restinio::asio_ns::get_associated_executor(aHandler);
     // A request that was sent ahead is handed on once the answer before it has
     // been written.
@@ -168,6 +172,10 @@
   void close();
   // NOLINTEND(readability-identifier-naming)
 
+  // Fails all writes from now on. What was written before still reaches the
+  // caller.
+  void EndWriting();
+
   // The watch over this connection; made at the first call, after RESTinio has
   // moved the socket to its place.
   std::shared_ptr<ConnectionWatch> Watch();
@@ -175,7 +183,9 @@
 private:
   // Bytes have come that belong to no request handed on yet.
   bool partial = false;
-  // An answer was sent that the caller has to read.
+  // No request is being read: the connection ends with the answer written.
+  bool lastWasWrite = false;
+  // The caller has to read what was sent last.
   bool answered = false;
   std::shared_ptr<ConnectionWatch> watch;
 };
