--- a/http/testing/response_pairing_test.cc
+++ b/http/testing/response_pairing_test.cc
@@ -818,6 +818,20 @@
     EXPECT_EQ(client.received, "");
     EXPECT_TRUE(client.ended);
   }
+  {
+    SCOPED_TRACE("a stream that is too long to be kept is broken off");
+    RawClient client(this->port);
+    client.Send("GET /kept/2 HTTP/1.0\r\nHost: h\r\n\r\n");
+    this->Run(kSettle, { &client });
+    Begin(this->kept["2"], "2");
+    this->kept["2"]->Write(BodyOf("2", kLarge));
+    this->kept["2"]->Write(BodyOf("2", kLarge));
+    this->kept["2"]->End();
+    this->Run(kSettle, { &client });
+    EXPECT_EQ(client.received, "");
+    EXPECT_TRUE(client.ended);
+  }
+  EXPECT_EQ(this->server->Busy(), 0u);
 }
 
 // RESTinio reads no further after a request that asks for another protocol.
