response_pairing_test: a stream under way and its client that left (red)

Seen: OnGone is not called, and Busy stays 1, if the client closes or resets while a piece is being written: the write that fails closes the socket, and the wait that would have told is dropped. 0 calls for 1 in both cases of "writing"; 1 for 1 in both cases of "written".

--- a/http/testing/response_pairing_test.cc
+++ b/http/testing/response_pairing_test.cc
@@ -387,6 +387,35 @@
   EXPECT_EQ(this->server->Busy(), 0u);
 }
 
+// The write that fails must not hide that the client left.
+TEST_F(GivenUp, AStreamUnderWayIsToldOnceThatItsClientLeft)
+{
+  this->Open();
+  for (const bool writing : { false, true }) {
+    for (const auto leave : { &RawClient::Close, &RawClient::Reset }) {
+      SCOPED_TRACE(std::string(writing ? "writing" : "written") +
+                   (leave == &RawClient::Reset ? ", reset" : ", closed"));
+      this->kept.clear();
+      RawClient client(this->port, kSmallReceiveBuffer);
+      client.Send(Request("/kept/1"));
+      this->Run(kSettle, { &client });
+      int gone = 0;
+      const Reply reply = this->kept["1"];
+      reply->OnGone([&gone, &reply] {
+        ++gone;
+        reply->Break();
+      });
+      Begin(reply, "1");
+      reply->Write(BodyOf("1", writing ? kLarge : kSmall));
+      this->Run(kSettle, {});
+      (client.*leave)();
+      this->Run(kSettle, {});
+      EXPECT_EQ(gone, 1);
+      EXPECT_EQ(this->server->Busy(), 0u);
+    }
+  }
+}
+
 TEST_F(GivenUp, ARequestSentAheadOfTheCloseIsAnsweredInItsTurn)
 {
   this->Open();
