EventServer tells that a client left while a piece was being written

Cause: the failed write lets RESTinio close the socket before the wait for the client's end is looked at, and a closed socket tells nothing. So the call of a client that left went on to its end, with its endpoint.

A close of the socket counts as the client's end if an answer is under way. It is told from the loop, not within the close. That also covers a client that stops reading until the write timeout, and a close hidden by bytes sent ahead if a write fails.

--- a/http/guarded_socket.cc
+++ b/http/guarded_socket.cc
@@ -197,11 +197,31 @@
     this->Wait(aTurn);
     return;
   }
+  this->Tell();
+}
+
+void
+ConnectionWatch::Tell()
+{
   const auto told = std::move(this->onGone);
   this->End();
   told();
 }
 
+void
+ConnectionWatch::OnClose()
+{
+  if (this->socket != nullptr && this->onGone) {
+    asio::post(this->socket->get_executor(),
+               [self = this->shared_from_this(), closed = this->turn] {
+                 if (closed == self->turn && self->onGone) {
+                   self->Tell();
+                 }
+               });
+  }
+  this->Forget();
+}
+
 void
 ConnectionWatch::Break()
 {
@@ -233,7 +253,7 @@
 GuardedSocket::close()
 {
   if (this->watch) {
-    this->watch->Forget();
+    this->watch->OnClose();
   }
   Error ignored;
   if (!this->answered || lingering >= kMaxLingering) {
--- a/http/guarded_socket.h
+++ b/http/guarded_socket.h
@@ -65,13 +65,16 @@
   void End();
   // Ends the connection: the caller sees that its answer is not whole.
   void Break();
-  // The socket was closed.
+  // The socket is about to be closed, which ends the waits: the caller of an
+  // answer under way counts as gone.
+  void OnClose();
   void Forget() { this->socket = nullptr; }
 
 private:
   void Wait(uint64_t aTurn);
   void Resume(uint64_t aTurn);
   void Look(uint64_t aTurn);
+  void Tell();
 
   GuardedSocket* socket;
   std::function<void()> onGone;
