--- a/http/event_server.h
+++ b/http/event_server.h
@@ -11,7 +11,13 @@
 // later, as a whole or piece by piece. Input that never becomes a request is
 // answered by `faultAnswer` and closed, as in http_server.h.
 //
-// Limits: one request of a connection at a time; sizes as set below.
+// A client that can't take chunks (HTTP/1.0 without a Connection header, and
+// any response without a body) gets a stream as one whole response at its end.
+// Headers of the framing and malformed ones are left out of responses; a status
+// that is not of a final response breaks the request off.
+//
+// Limits: one request of a connection at a time; sizes as set below. HTTP/1.0
+// with a Connection header can't be told from HTTP/1.1 and gets chunks.
 #ifndef TANAGERSEAM_HTTP_EVENT_SERVER_H_
 #define TANAGERSEAM_HTTP_EVENT_SERVER_H_
 
--- a/http/guarded_socket.h
+++ b/http/guarded_socket.h
@@ -60,7 +60,7 @@
   {
   }
   // Calls aOnGone once if the caller closes or resets the connection. Bytes
-  // sent ahead hide a close that follows them; then nothing is told.
+  // sent ahead hide a close that follows them until a write fails.
   void Begin(std::function<void()> aOnGone);
   void End();
   // Ends the connection: the caller sees that its answer is not whole.
