--- a/http/guarded_socket.cc
+++ b/http/guarded_socket.cc
@@ -132,6 +132,9 @@
                                 text.size(),
                                 MSG_DONTWAIT | MSG_NOSIGNAL);
     this->answered = sent > 0;
+  } else if (fault == InputFault::kNone) {
+    // What the caller sent ahead must not turn the close into a reset.
+    this->answered = this->lastWasWrite;
   }
   Base::shutdown(this->answered ? shutdown_send : aHow, aError);
 }
@@ -194,20 +197,49 @@
     this->Wait(aTurn);
     return;
   }
+  this->Tell();
+}
+
+void
+ConnectionWatch::Tell()
+{
   const auto told = std::move(this->onGone);
   this->End();
   told();
 }
 
+void
+ConnectionWatch::OnClose()
+{
+  if (this->socket != nullptr && this->onGone) {
+    asio::post(this->socket->get_executor(),
+               [self = this->shared_from_this(), closed = this->turn] {
+                 if (closed == self->turn && self->onGone) {
+                   self->Tell();
+                 }
+               });
+  }
+  this->Forget();
+}
+
 void
 ConnectionWatch::Break()
 {
   this->End();
   if (this->socket != nullptr) {
-    ::shutdown(this->socket->native_handle(), SHUT_RDWR);
+    this->socket->EndWriting();
   }
 }
 
+void
+GuardedSocket::EndWriting()
+{
+  // Unread input must not turn the close into a reset, which would destroy the
+  // answers before.
+  this->answered = true;
+  ::shutdown(this->native_handle(), SHUT_WR);
+}
+
 std::shared_ptr<ConnectionWatch>
 GuardedSocket::Watch()
 {
@@ -221,7 +253,7 @@
 GuardedSocket::close()
 {
   if (this->watch) {
-    this->watch->Forget();
+    this->watch->OnClose();
   }
   Error ignored;
   if (!this->answered || lingering >= kMaxLingering) {
