An event stream that ends within an event is not whole

What a client got: a complete response that held half an event; the turn was kept with half its output, and the next turn went on from it.

Cause: a stream without a length ends with its connection, and the end of the connection alone was taken for the end of the stream. Change: the relay, which calls and forwarded calls share, looks at the last bytes: a stream that does not end with an empty line is a failure, however its end was framed.

Evidence: GatewayTurnTest.DoesNotCompleteAStreamThatEndsWithinAnEvent got a complete response and 200 for the turn after it before; now the response is cut and the turn unknown. Not covered: a stream without a length that is cut exactly between two events by an orderly close looks whole.

--- a/gateway/response_relay.cc
+++ b/gateway/response_relay.cc
@@ -1,11 +1,31 @@
 #include "gateway/response_relay.h"
 
+#include <algorithm>
+
 namespace tanagerseam {
 
 namespace {
 
 constexpr size_t kMaxUnsentBytes = 256u << 10;
 
+// The longest end of an event: a line end and an empty line.
+constexpr size_t kMaxEventEndBytes = 4;
+
+bool
+EndsWith(const std::string& aText, std::string_view aEnd)
+{
+  return aText.size() >= aEnd.size() &&
+         aText.compare(aText.size() - aEnd.size(), aEnd.size(), aEnd) == 0;
+}
+
+// True if nothing, or an empty line, is at the end of a stream.
+bool
+IsBetweenEvents(const std::string& aStreamTail)
+{
+  return aStreamTail.empty() || EndsWith(aStreamTail, "\n\n") ||
+         EndsWith(aStreamTail, "\r\n\r\n") || EndsWith(aStreamTail, "\r\r");
+}
+
 bool
 IsSuccess(int aStatus)
 {
@@ -38,10 +58,8 @@
     self->OnData(*handlers, aPiece);
     return true;
   };
-  eventHandlers.onDone = [handlers](const EventOutcome& aOutcome) {
-    if (handlers->onDone) {
-      handlers->onDone(aOutcome);
-    }
+  eventHandlers.onDone = [self, handlers](const EventOutcome& aOutcome) {
+    self->OnDone(*handlers, aOutcome);
   };
   this->exchange =
     this->client.Start(std::move(aCall), std::move(eventHandlers));
@@ -100,9 +118,31 @@
   this->SendPiece(aPiece);
 }
 
+void
+ResponseRelay::OnDone(const RelayHandlers& aHandlers,
+                      const EventOutcome& aOutcome)
+{
+  if (!aHandlers.onDone) {
+    return;
+  }
+  EventOutcome outcome = aOutcome;
+  if (outcome.error == EventError::kNone && this->streaming &&
+      !IsBetweenEvents(this->streamTail)) {
+    outcome.error = EventError::kBroken;
+    outcome.detail = "event stream ended within an event";
+  }
+  aHandlers.onDone(outcome);
+}
+
 void
 ResponseRelay::SendPiece(std::string_view aPiece)
 {
+  this->streamTail.append(
+    aPiece.substr(aPiece.size() - std::min(aPiece.size(), kMaxEventEndBytes)));
+  this->streamTail.erase(
+    0,
+    this->streamTail.size() -
+      std::min(this->streamTail.size(), kMaxEventEndBytes));
   this->reply->Write(std::string(aPiece));
   if (!this->readPaused && this->reply->Unwritten() > kMaxUnsentBytes) {
     this->readPaused = true;
--- a/gateway/response_relay.h
+++ b/gateway/response_relay.h
@@ -13,6 +13,9 @@
 // reply. The client owns the handlers until the exchange ends, so they may hold
 // references to the owner.
 //
+// An event stream that ends within an event is a failure, however its end was
+// framed.
+//
 // Backpressure: reading pauses while more than kMaxUnsentBytes wait to be sent
 // to the client.
 #ifndef TANAGERSEAM_GATEWAY_RESPONSE_RELAY_H_
@@ -65,6 +68,7 @@
   void BeginStream();
   void OnData(const RelayHandlers& aHandlers, std::string_view aPiece);
   void SendPiece(std::string_view aPiece);
+  void OnDone(const RelayHandlers& aHandlers, const EventOutcome& aOutcome);
   void ResumeReading();
 
   EventClient& client;
@@ -73,6 +77,8 @@
   EventClient::CallId exchange = 0;
   EndpointResponseHead head;
   std::string body;
+  // The last bytes of an event stream.
+  std::string streamTail;
   bool streaming = false;
   bool readPaused = false;
 };
--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -187,5 +187,35 @@
   EXPECT_EQ(one.requests.size() + two.requests.size(), 2u);
 }
 
+// Guards against a stream without a length that ends within an event: the
+// client took it for whole, and the turn was kept.
+TEST_F(GatewayTurnTest, DoesNotCompleteAStreamThatEndsWithinAnEvent)
+{
+  const auto withoutLength = [](const std::string& aRequest) {
+    const std::string framing = "Transfer-Encoding: chunked\r\n";
+    std::string head = MakeStreamHead(aRequest);
+    return head.erase(head.find(framing), framing.size());
+  };
+  std::string events = "id: 1\ndata: one\n\nid: 2\nda";
+  RawEndpoint engine(this->io, [&](const std::string& aRequest) {
+    PresetResponse response;
+    response.bytes = withoutLength(aRequest) + events;
+    response.close = true;
+    return response;
+  });
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  EXPECT_FALSE(IsCompleteResponse(
+    this->SendAndReceive(this->host, this->TurnRequest("t-1", "", "x"))));
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->TurnRequest("t-2", "t-1", "y"))),
+            404);
+  {
+    SCOPED_TRACE("one that ends with an event is whole");
+    events += "ta: two\n\n";
+    EXPECT_TRUE(IsCompleteResponse(
+      this->SendAndReceive(this->host, this->TurnRequest("t-3", "", "x"))));
+  }
+}
+
 } // namespace
 } // namespace tanagerseam
