A success names its request, and a call without an id shares no connection

Change: only a failure may lack the id, as the first response of its connection; a response with an id is never the one to a call without; such a call gets a connection of its own, as nothing else tells its response apart.

Evidence: DropsASuccessWithoutId got 200, GivesACallWithoutIdNoResponseToAnother the body "secret of r-1" before.

--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -217,5 +217,41 @@
   }
 }
 
+// Guards against a success that names no request: endpoints name it in all
+// responses to a call.
+TEST_F(GatewayTest, DropsASuccessWithoutId)
+{
+  RawEndpoint tool(this->io, [](const std::string&) {
+    return PresetResponse{
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+    };
+  });
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("t-1", "tools", tool.Address());
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->Request("POST", "/charge/1", "r-1", "x"))),
+            502);
+}
+
+// Guards against a call without an id that gets the response to one with an id.
+TEST_F(GatewayTest, GivesACallWithoutIdNoResponseToAnother)
+{
+  std::string first;
+  RawEndpoint tool(this->io, [&first](const std::string& aRequest) {
+    if (first.empty()) {
+      first = MakeResponse(aRequest, "secret of r-1");
+    }
+    return PresetResponse{ first };
+  });
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("t-1", "tools", tool.Address());
+  this->SendAndReceive(this->host, this->Request("GET", "/look/1", "r-1"));
+  const std::string idHeader = "X-Request-Id: r-2\r\n";
+  std::string request = this->Request("GET", "/look/1", "r-2");
+  request.erase(request.find(idHeader), idHeader.size());
+  const std::string response = this->SendAndReceive(this->host, request);
+  EXPECT_EQ(response.find("secret"), std::string::npos) << response;
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -17,13 +17,15 @@
 // each request refuses the second one, and the outcome says that the first may
 // have reached the server.
 //
-// Invariant: a connection with anything to read before a request is sent on it
-// is not used: its bytes belong to no request. The request goes out on a new
-// one.
+// Invariant: a kept connection with anything to read before a request is sent
+// on it is not used: its bytes belong to no request. The request goes out on a
+// new one.
 //
 // Invariant: if the call names a correlation header, its response repeats the
-// header's value; only the first response of a connection may lack the header.
-// Any other response ends the connection and is not handed on.
+// header's value. The header may be missing only from a failure that is the
+// first response of its connection, or if the request has none; such a request
+// goes out on a connection of its own. Any other response ends the connection
+// and is not handed on.
 //
 // Cost: one easy handle for each call under way, kept for later calls.
 #ifndef TANAGERSEAM_HTTP_EVENT_CLIENT_H_
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -68,23 +68,46 @@
                                        std::string(value));
 }
 
+// False if responses to other calls name their requests and this call's can't.
+bool
+CanBeCorrelated(const EventCall& aCall)
+{
+  return aCall.correlationHeader.empty() ||
+         FirstHeader(aCall.headers, aCall.correlationHeader).has_value();
+}
+
+// True if a response that names no request can be this exchange's own.
+bool
+MayLackCorrelation(const Exchange& aExchange, bool aRequestHasId)
+{
+  if (!aRequestHasId) {
+    return true;
+  }
+  // A server that refuses a connection may not have read the request.
+  const bool failure = aExchange.status >= 400;
+  return failure && aExchange.connectionUse.earlierRequests == 0;
+}
+
 // True if the response is to this exchange's request. A late or second response
 // to an earlier request of the connection names that request, or none.
 bool
 IsOwnResponse(const Exchange& aExchange)
 {
   const std::string& header = aExchange.call.correlationHeader;
-  const auto expected = FirstHeader(aExchange.call.headers, header);
-  if (!expected) {
+  if (header.empty()) {
     return true;
   }
+  const auto expected = FirstHeader(aExchange.call.headers, header);
   const auto answered = FirstHeader(aExchange.answerHeaders, header);
-  const bool first = aExchange.connectionUse.earlierRequests == 0;
-  if (answered ? *answered == *expected : first) {
+  if (answered) {
+    if (answered == expected) {
+      return true;
+    }
+  } else if (MayLackCorrelation(aExchange, expected.has_value())) {
     return true;
   }
   LogFields fields = LogFieldsOf(aExchange.connectionUse);
-  fields.emplace_back("request", *expected);
+  fields.emplace_back("request", expected.value_or(""));
   fields.emplace_back("answered", answered.value_or(""));
   fields.emplace_back("peer", aExchange.call.url);
   LogWarn("answer_of_another_call", fields);
@@ -191,9 +214,10 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, call.timeout.count());
   curl_easy_setopt(
     easy, CURLOPT_CONNECTTIMEOUT_MS, call.connectTimeout.count());
-  const bool fresh = call.ownConnection || aExchange.keptConnectionFailed;
+  const bool own = call.ownConnection || !CanBeCorrelated(call);
+  const bool fresh = own || aExchange.keptConnectionFailed;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
-  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.ownConnection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, own ? 1L : 0L);
   curl_easy_setopt(
     easy, CURLOPT_MAXAGE_CONN, static_cast<long>(aMaxIdleSeconds));
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aExchange.errorText);
