A call that may have run is not refused as not run

What a client got: 503, which promises that the call has not run, for an idempotent call whose first attempt had been sent and had failed, where no other endpoint was left.

Cause: the refusal of a placement did not look at what had been sent before. Change: such a call ends with endpoint_failed (502).

Evidence: DoesNotSayNotRunAfterAnAttemptThatMayHaveRun and DropsSecondResponseWithoutId (r-2) got 503 before.

--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -274,7 +274,13 @@
   this->state.calls[this->dispatchId] = this->weak_from_this();
   const DispatchDecision decision =
     this->state.dispatcher.Submit(this->MakeDispatchCall(), now);
-  if (const auto* refused = std::get_if<Refused>(&decision)) {
+  const auto* refused = std::get_if<Refused>(&decision);
+  if (refused != nullptr && this->mayHaveExecuted) {
+    this->Refuse(RefusalReason::kEndpointFailed,
+                 "no endpoint for another attempt");
+    return;
+  }
+  if (refused != nullptr) {
     const bool noEndpoint = refused->reason == DispatchRefusal::kNoEndpoint;
     this->RefuseWithRetryAfter(
       noEndpoint ? RefusalReason::kNoEndpoint : RefusalReason::kOverloaded,
--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -39,6 +39,7 @@
     const std::string response =
       this->SendAndReceive(this->host, this->Request("GET", "/look/1", id));
     EXPECT_NE(BodyOf(response), "stray") << id;
+    EXPECT_EQ(StatusOf(response), std::string(id) == "r-2" ? 502 : 200) << id;
   }
 }
 
@@ -253,5 +254,37 @@
   EXPECT_EQ(response.find("secret"), std::string::npos) << response;
 }
 
+// Guards against header lines that mean one thing here and another to the
+// client, such as a second length.
+TEST_F(GatewayTest, PassesOnNoMalformedHeaders)
+{
+  for (const std::string line :
+       { ": x\r\n", "Bad Name: x\r\n", "Content-Length : 9\r\n" }) {
+    RawEndpoint tool(this->io, [&line](const std::string& aRequest) {
+      return PresetResponse{ MakeResponse(aRequest, "done", line) };
+    });
+    this->host.ApplyCatalog();
+    this->host.AddEndpoint("t-1", "tools", tool.Address());
+    const std::string response = this->SendAndReceive(
+      this->host, this->Request("POST", "/charge/1", "r-1", "x"));
+    EXPECT_EQ(response.find(line), std::string::npos) << response;
+  }
+}
+
+// Guards against "not run" for a call that may have run.
+TEST_F(GatewayTest, DoesNotSayNotRunAfterAnAttemptThatMayHaveRun)
+{
+  RawEndpoint tool(this->io, [](const std::string&) {
+    PresetResponse response;
+    response.reset = true;
+    return response;
+  });
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("t-1", "tools", tool.Address());
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->Request("GET", "/look/1", "r-1"))),
+            502);
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/gateway/testing/gateway_test.cc
+++ b/gateway/testing/gateway_test.cc
@@ -66,9 +66,11 @@
 
 TEST_F(GatewayTest, DoesNotResendAfterResetOfReusedConnection)
 {
-  RawEndpoint tool(this->io, [&tool](const std::string& aRequest) {
+  int connectionsAtReset = 0;
+  RawEndpoint tool(this->io, [&](const std::string& aRequest) {
     // Reads the second request on the connection, then resets the connection.
     if (tool.requests.size() == 2) {
+      connectionsAtReset = tool.acceptedConnections;
       PresetResponse response;
       response.reset = true;
       return response;
@@ -77,6 +79,26 @@
   });
   this->host.ApplyCatalog();
   this->host.AddEndpoint("t-1", "tools", tool.Address());
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->Request("GET", "/look/1", "r-1"))),
+            200);
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->Request("GET", "/look/2", "r-2"))),
+            502);
+  EXPECT_EQ(tool.requests.size(), 2u);
+  EXPECT_EQ(connectionsAtReset, 1);
+}
+
+TEST_F(GatewayTest, DoesNotResendACallThatMayNotBeRepeated)
+{
+  RawEndpoint tool(this->io, [&tool](const std::string& aRequest) {
+    PresetResponse response;
+    response.reset = tool.requests.size() == 2;
+    response.bytes = response.reset ? "" : MakeResponse(aRequest, "done");
+    return response;
+  });
+  this->host.ApplyCatalog();
+  this->host.AddEndpoint("t-1", "tools", tool.Address());
   EXPECT_EQ(StatusOf(this->SendAndReceive(
               this->host, this->Request("POST", "/charge/1", "r-1", "x"))),
             200);
