EventClient: a request counts for its connection once it is sent

BeforeSend counted a request and took the count back if the connection was not quiet; a call that was never sent named the discarded connection, against event_client.h.

--- a/http/curl_sockets.cc
+++ b/http/curl_sockets.cc
@@ -130,22 +130,26 @@
 }
 
 ConnectionUse
-CurlSockets::BeginRequest(curl_socket_t aSocket)
+CurlSockets::UseOf(curl_socket_t aSocket) const
 {
-  auto found = this->watches.find(aSocket);
-  if (found == this->watches.end()) {
-    return {};
-  }
-  Watch& watch = *found->second;
+  const Watch& watch = *this->watches.at(aSocket);
   ConnectionUse use;
   use.connection = watch.number;
-  use.earlierRequests = watch.requests++;
+  use.earlierRequests = watch.requests;
   use.age = std::chrono::duration_cast<Millis>(BootNow() - watch.openedAt);
   return use;
 }
 
+ConnectionUse
+CurlSockets::BeginRequest(curl_socket_t aSocket)
+{
+  const ConnectionUse use = this->UseOf(aSocket);
+  ++this->watches.at(aSocket)->requests;
+  return use;
+}
+
 WaitingInput
-CurlSockets::InputOf(curl_socket_t aSocket) const
+CurlSockets::InputOf(curl_socket_t aSocket)
 {
   char byte = 0;
   const ssize_t got =
--- a/http/curl_sockets.h
+++ b/http/curl_sockets.h
@@ -50,10 +50,12 @@
 
   // The socket of one connection; CURL_SOCKET_BAD if there is none.
   curl_socket_t Find(const char* aPeerIp, int aPeerPort, int aLocalPort) const;
-  // Counts a request that is about to be sent on aSocket.
+  // How the connection of aSocket, which Find gave, has been used so far.
+  ConnectionUse UseOf(curl_socket_t aSocket) const;
+  // The same, and counts a request that is about to be sent.
   ConnectionUse BeginRequest(curl_socket_t aSocket);
   // What can be read from aSocket before a request is sent on it.
-  WaitingInput InputOf(curl_socket_t aSocket) const;
+  static WaitingInput InputOf(curl_socket_t aSocket);
   // Ends the connection of aSocket, so that libcurl does not use it again.
   void Discard(curl_socket_t aSocket);
 
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -169,6 +169,7 @@
     this->Detach(aExchange);
     curl_easy_reset(aExchange.easy);
     aExchange.mustStartAgain = false;
+    aExchange.connectionUse = ConnectionUse{};
     aExchange.keptConnectionFailed = true;
     ConfigureExchange(aExchange, this->settings.maxIdleSeconds);
     curl_multi_add_handle(this->multi, aExchange.easy);
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -4,34 +4,51 @@
 
 namespace {
 
-// libcurl is about to send the request.
+// False if a kept connection has something to read or has ended. A connection
+// that was opened for the request is not looked at: a server that is full may
+// respond at once.
+bool
+IsQuiet(Exchange& aExchange, curl_socket_t aSocket)
+{
+  const ConnectionUse use = aExchange.sockets->UseOf(aSocket);
+  if (use.earlierRequests == 0) {
+    return true;
+  }
+  const WaitingInput input = CurlSockets::InputOf(aSocket);
+  if (input == WaitingInput::kBytes) {
+    LogFields fields = LogFieldsOf(use);
+    fields.emplace_back("peer", aExchange.call.url);
+    LogWarn("bytes_on_idle_connection", fields);
+    aExchange.foundStrayBytes = true;
+  }
+  return input == WaitingInput::kNothing;
+}
+
+// libcurl is about to send the request. Decides whether it may, on the
+// connection that libcurl chose.
 int
 BeforeSend(void* aExchange, char* aPeerIp, char*, int aPeerPort, int aLocalPort)
 {
   auto* exchange = static_cast<Exchange*>(aExchange);
-  ++exchange->timesSent;
-  if (exchange->timesSent > 1) {
+  if (exchange->timesSent > 0) {
+    ++exchange->timesSent;
     return CURL_PREREQFUNC_ABORT;
   }
-  const curl_socket_t socket =
-    exchange->sockets->Find(aPeerIp, aPeerPort, aLocalPort);
-  exchange->connectionUse = exchange->sockets->BeginRequest(socket);
-  exchange->connectionUse.foundStrayBytes = exchange->foundStrayBytes;
-  const WaitingInput input = exchange->sockets->InputOf(socket);
-  const bool kept = exchange->connectionUse.earlierRequests > 0;
-  if (!kept || input == WaitingInput::kNothing) {
-    return CURL_PREREQFUNC_OK;
+  CurlSockets& sockets = *exchange->sockets;
+  const curl_socket_t socket = sockets.Find(aPeerIp, aPeerPort, aLocalPort);
+  if (socket == CURL_SOCKET_BAD) {
+    LogError("connection_unknown", { { "peer", exchange->call.url } });
+    return CURL_PREREQFUNC_ABORT;
   }
-  if (input == WaitingInput::kBytes) {
-    LogFields fields = LogFieldsOf(exchange->connectionUse);
-    fields.emplace_back("peer", exchange->call.url);
-    LogWarn("bytes_on_idle_connection", fields);
-    exchange->foundStrayBytes = true;
+  if (!IsQuiet(*exchange, socket)) {
+    sockets.Discard(socket);
+    exchange->mustStartAgain = true;
+    return CURL_PREREQFUNC_ABORT;
   }
-  exchange->sockets->Discard(socket);
-  exchange->mustStartAgain = true;
-  --exchange->timesSent;
-  return CURL_PREREQFUNC_ABORT;
+  exchange->connectionUse = sockets.BeginRequest(socket);
+  exchange->connectionUse.foundStrayBytes = exchange->foundStrayBytes;
+  ++exchange->timesSent;
+  return CURL_PREREQFUNC_OK;
 }
 
 bool
