Blocking client: a response without a whole final head is a failure

Cause: libcurl 7.88 ends a response that is closed within its head as a success, and gives the bytes behind a 101 as its body. HttpClient passed both on as an answer; it also put the headers of an interim response into those of the final one. Same fault as that of the asynchronous client; endpoint/*.cc and eventlog/*.cc use this one.

Ruled out: an interim "100 Continue" alone and a 101 without a body, both closed, were failures before.

Changed: the head counts as whole at the blank line behind a final status; a body before that is refused, and a success of libcurl without it becomes kBroken with sent = true, which every caller treats as "may have reached the server".

--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t kMaxIdleHandles = 256;
+constexpr long kFirstFinalStatus = 200;
 
 // State of one call while libcurl runs it.
 struct Exchange
@@ -21,6 +22,8 @@
   bool tooLarge = false;
   bool idle = false;
   bool headersTold = false;
+  // The head of the final response was read to its end.
+  bool wholeHead = false;
   TimePoint lastData = Now();
 };
 
@@ -30,6 +33,10 @@
   auto* exchange = static_cast<Exchange*>(aExchange);
   const size_t bytes = aSize * aCount;
   exchange->lastData = Now();
+  if (!exchange->wholeHead) {
+    // The bytes behind a change of protocol are no body.
+    return 0;
+  }
   long status = 0;
   curl_easy_getinfo(exchange->easy, CURLINFO_RESPONSE_CODE, &status);
   if (exchange->call->onHeaders && !exchange->headersTold) {
@@ -65,11 +72,31 @@
   return aText.substr(first, last - first + 1);
 }
 
+// A line of a head that is neither whole nor that of the final response yet.
+void
+FollowHead(Exchange& aExchange, const std::string& aLine)
+{
+  if (aLine.rfind("HTTP/", 0) == 0) {
+    // The head of an interim response may have come before.
+    aExchange.answer.headers.clear();
+    return;
+  }
+  if (aLine != "\r\n" && aLine != "\n") {
+    return;
+  }
+  long status = 0;
+  curl_easy_getinfo(aExchange.easy, CURLINFO_RESPONSE_CODE, &status);
+  aExchange.wholeHead = status >= kFirstFinalStatus;
+}
+
 size_t
 OnHeader(char* aData, size_t aSize, size_t aCount, void* aExchange)
 {
   auto* exchange = static_cast<Exchange*>(aExchange);
   const std::string line(aData, aSize * aCount);
+  if (!exchange->wholeHead) {
+    FollowHead(*exchange, line);
+  }
   const size_t colon = line.find(':');
   if (colon != std::string::npos) {
     exchange->answer.headers.emplace_back(line.substr(0, colon),
@@ -98,7 +125,9 @@
 ToFailure(CURLcode aCode, const Exchange& aExchange)
 {
   TransportFailure failure;
-  failure.detail = curl_easy_strerror(aCode);
+  // libcurl ends a response that is closed within its head as a success.
+  failure.detail = aCode == CURLE_OK ? "the response has no whole final head"
+                                     : curl_easy_strerror(aCode);
   if (aExchange.cancelled) {
     failure.error = TransportError::kCancelled;
   } else if (aExchange.idle || aCode == CURLE_OPERATION_TIMEDOUT) {
@@ -213,7 +242,7 @@
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
   const CURLcode code = curl_easy_perform(easy);
   HttpOutcome outcome;
-  if (code == CURLE_OK) {
+  if (code == CURLE_OK && exchange.wholeHead) {
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     exchange.answer.status = int(status);
