Blocking client: no request on a kept connection with input, none sent twice

Cause: HttpClient left to libcurl 7.88 whether a kept connection is fit for the next request. libcurl uses one on which bytes wait, so a second response to an earlier call was the response to the next one, and each later call got that of the call before it. If a kept connection ends behind a request, libcurl sends the request again on a new one; if that one isn't accepted, the call counted as not sent although the server had read it. A call with freshConnection left its connection to later calls.

Changed: before a request is sent (CURLOPT_PREREQFUNCTION) the client looks at the socket. If a kept one has anything to read, or its end, it is shut down, and the request goes to a new connection within the same deadline. A second send is refused; the failure says that the request may have reached the server. "Not sent" now also needs that no send was begun. freshConnection forbids reuse.

The non-repeatable calls of model_engine were sent again by libcurl before.

--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -1,10 +1,20 @@
 #include "http/http_client.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <map>
 #include <mutex>
 #include <vector>
 
+#include "kernel/log.h"
+
 namespace tanagerseam {
 
 namespace {
@@ -12,11 +22,42 @@
 constexpr size_t kMaxIdleHandles = 256;
 constexpr long kFirstFinalStatus = 200;
 
+// One socket that libcurl opened.
+struct OpenSocket
+{
+  std::string peerIp;
+  int peerPort = 0;
+  // 0 until it was asked for on a connected socket.
+  int localPort = 0;
+  // Requests that were sent on it.
+  int requests = 0;
+};
+
+// An easy handle with the sockets of its connections. libcurl keeps a pointer
+// to it as long as one of them is open.
+struct Handle
+{
+  CURL* easy = curl_easy_init();
+  std::map<curl_socket_t, OpenSocket> sockets;
+
+  Handle() = default;
+  Handle(const Handle&) = delete;
+  Handle& operator=(const Handle&) = delete;
+  // Closes the sockets.
+  ~Handle() { curl_easy_cleanup(this->easy); }
+};
+
 // State of one call while libcurl runs it.
 struct Exchange
 {
   const HttpCall* call = nullptr;
+  Handle* handle = nullptr;
   CURL* easy = nullptr;
+  // How often libcurl was about to send the request, without those that were
+  // held back.
+  int timesSent = 0;
+  // The request was held back from a kept connection that must not be used.
+  bool heldBack = false;
   HttpAnswer answer;
   bool cancelled = false;
   bool tooLarge = false;
@@ -72,6 +113,123 @@
   return aText.substr(first, last - first + 1);
 }
 
+int
+PortOf(const sockaddr_storage& aAddress)
+{
+  return ntohs(aAddress.ss_family == AF_INET6
+                 ? reinterpret_cast<const sockaddr_in6&>(aAddress).sin6_port
+                 : reinterpret_cast<const sockaddr_in&>(aAddress).sin_port);
+}
+
+std::string
+IpOf(const sockaddr_storage& aAddress)
+{
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  const void* ip =
+    aAddress.ss_family == AF_INET6
+      ? static_cast<const void*>(
+          &reinterpret_cast<const sockaddr_in6&>(aAddress).sin6_addr)
+      : &reinterpret_cast<const sockaddr_in&>(aAddress).sin_addr;
+  inet_ntop(aAddress.ss_family, ip, text.data(), text.size());
+  return text.data();
+}
+
+curl_socket_t
+OnOpenSocket(void* aHandle, curlsocktype, curl_sockaddr* aAddress)
+{
+  auto* handle = static_cast<Handle*>(aHandle);
+  sockaddr_storage peer{};
+  if (aAddress->addrlen > sizeof peer) {
+    return CURL_SOCKET_BAD;
+  }
+  std::memcpy(&peer, &aAddress->addr, aAddress->addrlen);
+  const int opened = ::socket(
+    aAddress->family, aAddress->socktype | SOCK_CLOEXEC, aAddress->protocol);
+  if (opened < 0) {
+    LogWarn("socket_not_opened", { { "error", std::strerror(errno) } });
+    return CURL_SOCKET_BAD;
+  }
+  handle->sockets[opened] = OpenSocket{ IpOf(peer), PortOf(peer) };
+  return opened;
+}
+
+int
+OnCloseSocket(void* aHandle, curl_socket_t aSocket)
+{
+  static_cast<Handle*>(aHandle)->sockets.erase(aSocket);
+  return ::close(aSocket);
+}
+
+int
+LocalPortOf(curl_socket_t aSocket, OpenSocket& aOpen)
+{
+  if (aOpen.localPort == 0) {
+    sockaddr_storage local{};
+    socklen_t length = sizeof local;
+    if (getsockname(aSocket, reinterpret_cast<sockaddr*>(&local), &length) ==
+        0) {
+      aOpen.localPort = PortOf(local);
+    }
+  }
+  return aOpen.localPort;
+}
+
+// The socket of one connection; CURL_SOCKET_BAD if there is none.
+curl_socket_t
+FindSocket(Handle& aHandle, const char* aPeerIp, int aPeerPort, int aLocalPort)
+{
+  for (auto& entry : aHandle.sockets) {
+    OpenSocket& open = entry.second;
+    // Connections to different peers may have the same local port.
+    if (open.peerPort == aPeerPort && open.peerIp == aPeerIp &&
+        LocalPortOf(entry.first, open) == aLocalPort) {
+      return entry.first;
+    }
+  }
+  return CURL_SOCKET_BAD;
+}
+
+// False if bytes wait on the idle connection, or its end.
+bool
+CanCarryARequest(curl_socket_t aSocket, const std::string& aUrl)
+{
+  char byte = 0;
+  const ssize_t got =
+    ::recv(aSocket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) {
+    LogWarn("bytes_on_idle_connection", { { "peer", aUrl } });
+    return false;
+  }
+  return got < 0 && (errno == EAGAIN || errno == EINTR);
+}
+
+// libcurl is about to send the request.
+int
+BeforeSend(void* aExchange, char* aPeerIp, char*, int aPeerPort, int aLocalPort)
+{
+  auto* exchange = static_cast<Exchange*>(aExchange);
+  ++exchange->timesSent;
+  if (exchange->timesSent > 1) {
+    // A kept connection ended: the server may have the request.
+    return CURL_PREREQFUNC_ABORT;
+  }
+  Handle& handle = *exchange->handle;
+  const curl_socket_t socket =
+    FindSocket(handle, aPeerIp, aPeerPort, aLocalPort);
+  if (socket == CURL_SOCKET_BAD) {
+    return CURL_PREREQFUNC_OK;
+  }
+  const bool kept = handle.sockets[socket].requests++ > 0;
+  if (!kept || CanCarryARequest(socket, exchange->call->url)) {
+    return CURL_PREREQFUNC_OK;
+  }
+  // libcurl closes the socket once it sees the end.
+  ::shutdown(socket, SHUT_RDWR);
+  exchange->heldBack = true;
+  --exchange->timesSent;
+  return CURL_PREREQFUNC_ABORT;
+}
+
 // A line of a head that is neither whole nor that of the final response yet.
 void
 FollowHead(Exchange& aExchange, const std::string& aLine)
@@ -121,13 +279,24 @@
   return 0;
 }
 
+std::string
+DetailOf(CURLcode aCode, const Exchange& aExchange)
+{
+  if (aCode == CURLE_OK) {
+    // libcurl ends a response that is closed within its head as a success.
+    return "the response has no whole final head";
+  }
+  if (aExchange.timesSent > 1) {
+    return "the kept connection ended before a response";
+  }
+  return curl_easy_strerror(aCode);
+}
+
 TransportFailure
 ToFailure(CURLcode aCode, const Exchange& aExchange)
 {
   TransportFailure failure;
-  // libcurl ends a response that is closed within its head as a success.
-  failure.detail = aCode == CURLE_OK ? "the response has no whole final head"
-                                     : curl_easy_strerror(aCode);
+  failure.detail = DetailOf(aCode, aExchange);
   if (aExchange.cancelled) {
     failure.error = TransportError::kCancelled;
   } else if (aExchange.idle || aCode == CURLE_OPERATION_TIMEDOUT) {
@@ -138,8 +307,11 @@
   curl_easy_getinfo(aExchange.easy, CURLINFO_NUM_CONNECTS, &connects);
   curl_easy_getinfo(aExchange.easy, CURLINFO_CONNECT_TIME_T, &connected);
   const bool reused = connects == 0;
-  if (aCode == CURLE_COULDNT_CONNECT ||
-      (aCode == CURLE_OPERATION_TIMEDOUT && !reused && connected == 0)) {
+  const bool notConnected =
+    aCode == CURLE_COULDNT_CONNECT ||
+    (aCode == CURLE_OPERATION_TIMEDOUT && !reused && connected == 0);
+  // libcurl also connects to repeat a request.
+  if (notConnected && aExchange.timesSent == 0) {
     failure.sent = false;
     failure.error = TransportError::kNotConnected;
   }
@@ -177,6 +349,14 @@
   curl_easy_setopt(aEasy, CURLOPT_TIMEOUT_MS, long(aCall.timeout.count()));
   curl_easy_setopt(
     aEasy, CURLOPT_FRESH_CONNECT, aCall.freshConnection ? 1L : 0L);
+  curl_easy_setopt(
+    aEasy, CURLOPT_FORBID_REUSE, aCall.freshConnection ? 1L : 0L);
+  curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETFUNCTION, OnOpenSocket);
+  curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETDATA, aExchange.handle);
+  curl_easy_setopt(aEasy, CURLOPT_CLOSESOCKETFUNCTION, OnCloseSocket);
+  curl_easy_setopt(aEasy, CURLOPT_CLOSESOCKETDATA, aExchange.handle);
+  curl_easy_setopt(aEasy, CURLOPT_PREREQFUNCTION, BeforeSend);
+  curl_easy_setopt(aEasy, CURLOPT_PREREQDATA, &aExchange);
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, OnBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, &aExchange);
   curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, OnHeader);
@@ -186,33 +366,53 @@
   curl_easy_setopt(aEasy, CURLOPT_XFERINFODATA, &aExchange);
 }
 
+// Runs the exchange, once more on a new connection if the request was held
+// back.
+CURLcode
+RunExchange(Exchange& aExchange)
+{
+  const TimePoint start = Now();
+  const CURLcode code = curl_easy_perform(aExchange.easy);
+  if (!aExchange.heldBack) {
+    return code;
+  }
+  const Millis timeout = aExchange.call->timeout;
+  if (timeout.count() > 0) {
+    const int64_t left = timeout.count() - MillisBetween(start, Now());
+    curl_easy_setopt(
+      aExchange.easy, CURLOPT_TIMEOUT_MS, long(std::max<int64_t>(1, left)));
+  }
+  curl_easy_setopt(aExchange.easy, CURLOPT_FRESH_CONNECT, 1L);
+  return curl_easy_perform(aExchange.easy);
+}
+
 } // namespace
 
 struct HttpClient::Impl
 {
+  using HandlePtr = std::unique_ptr<Handle>;
+
   std::mutex mutex;
-  std::vector<CURL*> idle;
+  std::vector<HandlePtr> idle;
 
-  CURL* Take()
+  HandlePtr Take()
   {
     std::lock_guard<std::mutex> lock(this->mutex);
     if (this->idle.empty()) {
-      return curl_easy_init();
+      return std::make_unique<Handle>();
     }
-    CURL* easy = this->idle.back();
+    HandlePtr handle = std::move(this->idle.back());
     this->idle.pop_back();
-    curl_easy_reset(easy);
-    return easy;
+    curl_easy_reset(handle->easy);
+    return handle;
   }
 
-  void GiveBack(CURL* aEasy)
+  void GiveBack(HandlePtr aHandle)
   {
     std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->idle.size() >= kMaxIdleHandles) {
-      curl_easy_cleanup(aEasy);
-      return;
+    if (this->idle.size() < kMaxIdleHandles) {
+      this->idle.push_back(std::move(aHandle));
     }
-    this->idle.push_back(aEasy);
   }
 };
 
@@ -223,24 +423,21 @@
   std::call_once(once, [] { curl_global_init(CURL_GLOBAL_ALL); });
 }
 
-HttpClient::~HttpClient()
-{
-  for (CURL* easy : this->impl->idle) {
-    curl_easy_cleanup(easy);
-  }
-}
+HttpClient::~HttpClient() = default;
 
 HttpOutcome
 HttpClient::Perform(const HttpCall& aCall)
 {
-  CURL* easy = this->impl->Take();
+  Impl::HandlePtr handle = this->impl->Take();
+  CURL* easy = handle->easy;
   Exchange exchange;
   exchange.call = &aCall;
+  exchange.handle = handle.get();
   exchange.easy = easy;
   SetOptions(easy, aCall, exchange);
   curl_slist* headers = BuildHeaders(aCall);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-  const CURLcode code = curl_easy_perform(easy);
+  const CURLcode code = RunExchange(exchange);
   HttpOutcome outcome;
   if (code == CURLE_OK && exchange.wholeHead) {
     long status = 0;
@@ -252,7 +449,7 @@
   }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, nullptr);
   curl_slist_free_all(headers);
-  this->impl->GiveBack(easy);
+  this->impl->GiveBack(std::move(handle));
   return outcome;
 }
 
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -1,10 +1,12 @@
 // HTTP/1.1 client over libcurl, blocking.
 //
 // Idle connections are kept in easy handles that a pool hands out, one for
-// each call under way. A failure says whether the request can have reached the
-// server: `sent` is false only if no connection came about. A call with
-// `freshConnection` is never repeated by libcurl on its own, which it else does
-// when a kept connection turns out to be closed.
+// each call under way. A kept connection that has anything to read before a
+// request, or has ended, is not used: the request goes to a new one. A failure
+// says whether the request can have reached the server: `sent` is false only if
+// no connection came about. No request is sent twice: if a kept connection ends
+// before a response, the call fails with `sent`, and the caller decides. A call
+// with `freshConnection` has a connection of its own, closed afterwards.
 #ifndef TANAGERSEAM_HTTP_HTTP_CLIENT_H_
 #define TANAGERSEAM_HTTP_HTTP_CLIENT_H_
 
--- a/http/testing/http_client_test.cc
+++ b/http/testing/http_client_test.cc
@@ -2,7 +2,7 @@
 // HTTP.
 #include <gtest/gtest.h>
 
-#include <atomic>
+#include <array>
 #include <thread>
 
 #include "gateway/testing/raw_peer.h"
@@ -135,5 +135,187 @@
   EXPECT_FALSE(FirstHeader(answer.headers, "X-Early"));
 }
 
+// A server that responds with the request's path, to /twice with a second
+// response while the connection is idle; it ends the connection of /end then.
+PresetResponse
+RespondWithPath(const std::string& aRequest)
+{
+  const size_t start = aRequest.find(' ') + 1;
+  const std::string path =
+    aRequest.substr(start, aRequest.find(' ', start) - start);
+  PresetResponse response;
+  response.bytes = Ok(path);
+  if (path == "/twice" || path == "/end") {
+    response.delay = Millis(2);
+    response.delayedBytes = path == "/twice" ? Ok(path) : "";
+    response.close = path == "/end";
+  }
+  return response;
+}
+
+// Guards against a second response that waits on the idle connection and is
+// taken for the response of the next call.
+TEST_F(BlockingClient, SendsNoRequestOnAConnectionWithInput)
+{
+  this->Serve(RespondWithPath);
+  EXPECT_EQ(Text(this->Get("/twice")), "200 /twice");
+  std::this_thread::sleep_for(kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  {
+    SCOPED_TRACE("the new connection is kept");
+    EXPECT_EQ(Text(this->Get("/after")), "200 /after");
+  }
+  this->StopServer();
+  EXPECT_EQ(this->server->requests.size(), 3u);
+  EXPECT_EQ(this->server->acceptedConnections, 2);
+}
+
+// Guards against a request that is sent on a connection the server has ended.
+TEST_F(BlockingClient, SendsNoRequestOnAnEndedConnection)
+{
+  this->Serve(RespondWithPath);
+  EXPECT_EQ(Text(this->Get("/end")), "200 /end");
+  std::this_thread::sleep_for(kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  this->StopServer();
+  EXPECT_EQ(this->server->requests.size(), 2u);
+}
+
+// Guards against a second start of the deadline when a call moves to a new
+// connection.
+TEST_F(BlockingClient, KeepsTheDeadlineOnANewConnection)
+{
+  this->Serve([](const std::string& aRequest) {
+    PresetResponse response = RespondWithPath(aRequest);
+    if (IsFor(aRequest, "/silent")) {
+      response.bytes.clear();
+      response.delay = 4 * kCallTimeout;
+    }
+    return response;
+  });
+  EXPECT_EQ(Text(this->Get("/twice")), "200 /twice");
+  std::this_thread::sleep_for(kArrival);
+  const TimePoint start = Now();
+  const HttpOutcome outcome = this->Get("/silent");
+  EXPECT_LT(Now() - start, kCallTimeout * 3 / 2);
+  ASSERT_EQ(Text(outcome), "failure, sent");
+  EXPECT_EQ(std::get<TransportFailure>(outcome).error,
+            TransportError::kTimeout);
+}
+
+// Guards against a "may have reached the server" for a request that was held
+// back on the kept connection and found no new one.
+TEST_F(BlockingClient, KnowsThatARequestHeldBackWasNotSent)
+{
+  using Socket = restinio::asio_ns::ip::tcp::socket;
+  auto acceptor = std::make_unique<restinio::asio_ns::ip::tcp::acceptor>(
+    this->io,
+    restinio::asio_ns::ip::tcp::endpoint{
+      restinio::asio_ns::ip::make_address("127.0.0.1"), 0 });
+  this->url =
+    "http://127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+  std::thread serving([&] {
+    Socket socket = acceptor->accept();
+    acceptor.reset();
+    std::array<char, 4096> buffer{};
+    socket.read_some(restinio::asio_ns::buffer(buffer));
+    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("first")));
+    std::this_thread::sleep_for(kArrival);
+    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("second")));
+    // Until the client ends the connection.
+    restinio::asio_ns::error_code ignored;
+    const size_t received =
+      socket.read_some(restinio::asio_ns::buffer(buffer), ignored);
+    EXPECT_EQ(received, 0u);
+  });
+  EXPECT_EQ(Text(this->Get("/first")), "200 first");
+  std::this_thread::sleep_for(2 * kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "failure, not sent");
+  serving.join();
+}
+
+// Guards against a request that libcurl sends a second time when the kept
+// connection ends after the server has read it.
+TEST_F(BlockingClient, SendsARequestOnceIfTheConnectionEnds)
+{
+  for (const bool reset : { false, true }) {
+    SCOPED_TRACE(reset ? "reset" : "closed");
+    this->Serve([reset](const std::string& aRequest) {
+      PresetResponse response = RespondWithPath(aRequest);
+      if (IsFor(aRequest, "/read-only")) {
+        response.bytes.clear();
+        response.close = !reset;
+        response.reset = reset;
+      }
+      return response;
+    });
+    EXPECT_EQ(Text(this->Get("/first")), "200 /first");
+    const HttpOutcome outcome = this->Get("/read-only");
+    EXPECT_EQ(Text(outcome), "failure, sent");
+    if (const auto* failure = std::get_if<TransportFailure>(&outcome)) {
+      EXPECT_EQ(failure->error, TransportError::kBroken);
+    }
+    EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+    this->StopServer();
+    EXPECT_EQ(this->server->requests.size(), 3u);
+    this->io.restart();
+  }
+}
+
+// Guards against a request that counts as not sent because its repetition by
+// libcurl found no server.
+TEST_F(BlockingClient, KnowsThatARequestMayHaveArrivedBeforeTheServerWentAway)
+{
+  using Socket = restinio::asio_ns::ip::tcp::socket;
+  auto acceptor = std::make_unique<restinio::asio_ns::ip::tcp::acceptor>(
+    this->io,
+    restinio::asio_ns::ip::tcp::endpoint{
+      restinio::asio_ns::ip::make_address("127.0.0.1"), 0 });
+  this->url =
+    "http://127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+  std::thread serving([&] {
+    Socket socket = acceptor->accept();
+    acceptor.reset();
+    std::array<char, 4096> buffer{};
+    socket.read_some(restinio::asio_ns::buffer(buffer));
+    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("first")));
+    const size_t received = socket.read_some(restinio::asio_ns::buffer(buffer));
+    EXPECT_GT(received, 0u);
+  });
+  EXPECT_EQ(Text(this->Get("/first")), "200 first");
+  EXPECT_EQ(Text(this->Get("/next")), "failure, sent");
+  serving.join();
+}
+
+// Guards against the second response to a call that must be sent once, which
+// the connection it leaves behind gives to a later call.
+TEST_F(BlockingClient, KeepsNoConnectionOfAFreshCall)
+{
+  this->Serve(RespondWithPath);
+  EXPECT_EQ(Text(this->Get("/twice", true)), "200 /twice");
+  EXPECT_EQ(Text(this->Get("/once", true)), "200 /once");
+  std::this_thread::sleep_for(kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  this->StopServer();
+  EXPECT_EQ(this->server->acceptedConnections, 3);
+}
+
+// Guards against a connection that is used again after a response that was not
+// whole.
+TEST_F(BlockingClient, KeepsNoConnectionAfterAResponseThatIsNotFinal)
+{
+  this->Serve([](const std::string& aRequest) {
+    PresetResponse response = RespondWithPath(aRequest);
+    if (IsFor(aRequest, "/switch")) {
+      response.bytes = "HTTP/1.1 101 Switching Protocols\r\n\r\nbody";
+    }
+    return response;
+  });
+  EXPECT_EQ(Text(this->Get("/switch")), "failure, sent");
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  this->StopServer();
+  EXPECT_EQ(this->server->acceptedConnections, 2);
+}
+
 } // namespace
 } // namespace tanagerseam
