--- /dev/null
+++ b/http/testing/http_client_test.cc
@@ -0,0 +1,321 @@
+// The blocking client against servers that respond twice, in part or not in
+// HTTP.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <thread>
+
+#include "gateway/testing/raw_peer.h"
+#include "http/http_client.h"
+
+namespace tanagerseam {
+namespace {
+
+using testing_support::PresetResponse;
+using testing_support::RawEndpoint;
+
+constexpr Millis kCallTimeout{ 500 };
+// Time for bytes of the server to arrive on an idle connection.
+constexpr Millis kArrival{ 20 };
+
+std::string
+Ok(const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+bool
+IsFor(const std::string& aRequest, const std::string& aPath)
+{
+  return aRequest.find(aPath + " ") != std::string::npos;
+}
+
+std::string
+Text(const HttpOutcome& aOutcome)
+{
+  if (const auto* failure = std::get_if<TransportFailure>(&aOutcome)) {
+    return std::string("failure, ") + (failure->sent ? "sent" : "not sent");
+  }
+  const auto& answer = std::get<HttpAnswer>(aOutcome);
+  return std::to_string(answer.status) + " " + answer.body;
+}
+
+class BlockingClient : public ::testing::Test
+{
+protected:
+  ~BlockingClient() override { this->StopServer(); }
+
+  void Serve(RawEndpoint::Script aScript)
+  {
+    this->server = std::make_unique<RawEndpoint>(this->io, std::move(aScript));
+    this->url = "http://" + this->server->Address();
+    this->thread = std::thread([this] { this->io.run(); });
+  }
+
+  // The server's counts may be read afterwards.
+  void StopServer()
+  {
+    this->io.stop();
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+  HttpOutcome Get(const std::string& aPath, bool aFresh = false)
+  {
+    HttpCall call;
+    call.url = this->url + aPath;
+    call.timeout = kCallTimeout;
+    call.freshConnection = aFresh;
+    return this->client.Perform(call);
+  }
+
+  restinio::asio_ns::io_context io{ 1 };
+  std::unique_ptr<RawEndpoint> server;
+  std::string url;
+  HttpClient client;
+  std::thread thread;
+};
+
+// Guards against a response that is closed within its head and passes for a
+// success with status 0 or with a part of the headers.
+TEST_F(BlockingClient, TakesACutHeadForAFailure)
+{
+  const std::string whole = Ok("whole body");
+  this->Serve([whole](const std::string& aRequest) {
+    const size_t at = aRequest.find("GET /") + 5;
+    PresetResponse response;
+    response.bytes = whole.substr(0, std::stoul(aRequest.substr(at)));
+    response.close = true;
+    return response;
+  });
+  const size_t headEnd = whole.find("\r\n\r\n") + 4;
+  for (size_t length = 0; length < headEnd; ++length) {
+    EXPECT_EQ(Text(this->Get("/" + std::to_string(length), true)),
+              "failure, sent")
+      << length << " bytes of the head";
+  }
+  const std::string all = "/" + std::to_string(whole.size());
+  EXPECT_EQ(Text(this->Get(all, true)), "200 whole body");
+}
+
+// Guards against a change of protocol, or an interim response without a final
+// one, that passes for a success; and against the next call on its connection.
+TEST_F(BlockingClient, TakesAResponseThatIsNotFinalForAFailure)
+{
+  this->Serve([](const std::string& aRequest) {
+    const std::string switching = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
+    PresetResponse response;
+    response.bytes = IsFor(aRequest, "-body")    ? switching + "body"
+                     : IsFor(aRequest, "/empty") ? switching
+                     : IsFor(aRequest, "/100") ? "HTTP/1.1 100 Continue\r\n\r\n"
+                                               : Ok("next");
+    response.close =
+      !IsFor(aRequest, "/open-body") && !IsFor(aRequest, "/next");
+    return response;
+  });
+  for (const char* path : { "/open-body", "/ended-body", "/empty", "/100" }) {
+    SCOPED_TRACE(path);
+    EXPECT_EQ(Text(this->Get(path)), "failure, sent");
+    EXPECT_EQ(Text(this->Get("/next", true)), "200 next");
+  }
+}
+
+// Guards against the headers of an interim response in those of the final one.
+TEST_F(BlockingClient, LeavesOutTheHeadersOfAnInterimResponse)
+{
+  this->Serve([](const std::string&) {
+    return PresetResponse{ "HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n\r\n" +
+                           Ok("final") };
+  });
+  const HttpOutcome outcome = this->Get("/");
+  EXPECT_EQ(Text(outcome), "200 final");
+  const auto& answer = std::get<HttpAnswer>(outcome);
+  EXPECT_FALSE(FirstHeader(answer.headers, "X-Early"));
+}
+
+// A server that responds with the request's path, to /twice with a second
+// response while the connection is idle; it ends the connection of /end then.
+PresetResponse
+RespondWithPath(const std::string& aRequest)
+{
+  const size_t start = aRequest.find(' ') + 1;
+  const std::string path =
+    aRequest.substr(start, aRequest.find(' ', start) - start);
+  PresetResponse response;
+  response.bytes = Ok(path);
+  if (path == "/twice" || path == "/end") {
+    response.delay = Millis(2);
+    response.delayedBytes = path == "/twice" ? Ok(path) : "";
+    response.close = path == "/end";
+  }
+  return response;
+}
+
+// Guards against a second response that waits on the idle connection and is
+// taken for the response of the next call.
+TEST_F(BlockingClient, SendsNoRequestOnAConnectionWithInput)
+{
+  this->Serve(RespondWithPath);
+  EXPECT_EQ(Text(this->Get("/twice")), "200 /twice");
+  std::this_thread::sleep_for(kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  {
+    SCOPED_TRACE("the new connection is kept");
+    EXPECT_EQ(Text(this->Get("/after")), "200 /after");
+  }
+  this->StopServer();
+  EXPECT_EQ(this->server->requests.size(), 3u);
+  EXPECT_EQ(this->server->acceptedConnections, 2);
+}
+
+// Guards against a request that is sent on a connection the server has ended.
+TEST_F(BlockingClient, SendsNoRequestOnAnEndedConnection)
+{
+  this->Serve(RespondWithPath);
+  EXPECT_EQ(Text(this->Get("/end")), "200 /end");
+  std::this_thread::sleep_for(kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  this->StopServer();
+  EXPECT_EQ(this->server->requests.size(), 2u);
+}
+
+// Guards against a second start of the deadline when a call moves to a new
+// connection.
+TEST_F(BlockingClient, KeepsTheDeadlineOnANewConnection)
+{
+  this->Serve([](const std::string& aRequest) {
+    PresetResponse response = RespondWithPath(aRequest);
+    if (IsFor(aRequest, "/silent")) {
+      response.bytes.clear();
+      response.delay = 4 * kCallTimeout;
+    }
+    return response;
+  });
+  EXPECT_EQ(Text(this->Get("/twice")), "200 /twice");
+  std::this_thread::sleep_for(kArrival);
+  const TimePoint start = Now();
+  const HttpOutcome outcome = this->Get("/silent");
+  EXPECT_LT(Now() - start, kCallTimeout * 3 / 2);
+  ASSERT_EQ(Text(outcome), "failure, sent");
+  EXPECT_EQ(std::get<TransportFailure>(outcome).error,
+            TransportError::kTimeout);
+}
+
+// Guards against a "may have reached the server" for a request that was held
+// back on the kept connection and found no new one.
+TEST_F(BlockingClient, KnowsThatARequestHeldBackWasNotSent)
+{
+  using Socket = restinio::asio_ns::ip::tcp::socket;
+  auto acceptor = std::make_unique<restinio::asio_ns::ip::tcp::acceptor>(
+    this->io,
+    restinio::asio_ns::ip::tcp::endpoint{
+      restinio::asio_ns::ip::make_address("127.0.0.1"), 0 });
+  this->url =
+    "http://127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+  std::thread serving([&] {
+    Socket socket = acceptor->accept();
+    acceptor.reset();
+    std::array<char, 4096> buffer{};
+    socket.read_some(restinio::asio_ns::buffer(buffer));
+    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("first")));
+    std::this_thread::sleep_for(kArrival);
+    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("second")));
+    // Until the client ends the connection.
+    restinio::asio_ns::error_code ignored;
+    const size_t received =
+      socket.read_some(restinio::asio_ns::buffer(buffer), ignored);
+    EXPECT_EQ(received, 0u);
+  });
+  EXPECT_EQ(Text(this->Get("/first")), "200 first");
+  std::this_thread::sleep_for(2 * kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "failure, not sent");
+  serving.join();
+}
+
+// Guards against a request that libcurl sends a second time when the kept
+// connection ends after the server has read it.
+TEST_F(BlockingClient, SendsARequestOnceIfTheConnectionEnds)
+{
+  for (const bool reset : { false, true }) {
+    SCOPED_TRACE(reset ? "reset" : "closed");
+    this->Serve([reset](const std::string& aRequest) {
+      PresetResponse response = RespondWithPath(aRequest);
+      if (IsFor(aRequest, "/read-only")) {
+        response.bytes.clear();
+        response.close = !reset;
+        response.reset = reset;
+      }
+      return response;
+    });
+    EXPECT_EQ(Text(this->Get("/first")), "200 /first");
+    const HttpOutcome outcome = this->Get("/read-only");
+    EXPECT_EQ(Text(outcome), "failure, sent");
+    if (const auto* failure = std::get_if<TransportFailure>(&outcome)) {
+      EXPECT_EQ(failure->error, TransportError::kBroken);
+    }
+    EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+    this->StopServer();
+    EXPECT_EQ(this->server->requests.size(), 3u);
+    this->io.restart();
+  }
+}
+
+// Guards against a request that counts as not sent because its repetition by
+// libcurl found no server.
+TEST_F(BlockingClient, KnowsThatARequestMayHaveArrivedBeforeTheServerWentAway)
+{
+  using Socket = restinio::asio_ns::ip::tcp::socket;
+  auto acceptor = std::make_unique<restinio::asio_ns::ip::tcp::acceptor>(
+    this->io,
+    restinio::asio_ns::ip::tcp::endpoint{
+      restinio::asio_ns::ip::make_address("127.0.0.1"), 0 });
+  this->url =
+    "http://127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+  std::thread serving([&] {
+    Socket socket = acceptor->accept();
+    acceptor.reset();
+    std::array<char, 4096> buffer{};
+    socket.read_some(restinio::asio_ns::buffer(buffer));
+    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("first")));
+    const size_t received = socket.read_some(restinio::asio_ns::buffer(buffer));
+    EXPECT_GT(received, 0u);
+  });
+  EXPECT_EQ(Text(this->Get("/first")), "200 first");
+  EXPECT_EQ(Text(this->Get("/next")), "failure, sent");
+  serving.join();
+}
+
+// Guards against the second response to a call that must be sent once, which
+// the connection it leaves behind gives to a later call.
+TEST_F(BlockingClient, KeepsNoConnectionOfAFreshCall)
+{
+  this->Serve(RespondWithPath);
+  EXPECT_EQ(Text(this->Get("/twice", true)), "200 /twice");
+  EXPECT_EQ(Text(this->Get("/once", true)), "200 /once");
+  std::this_thread::sleep_for(kArrival);
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  this->StopServer();
+  EXPECT_EQ(this->server->acceptedConnections, 3);
+}
+
+// Guards against a connection that is used again after a response that was not
+// whole.
+TEST_F(BlockingClient, KeepsNoConnectionAfterAResponseThatIsNotFinal)
+{
+  this->Serve([](const std::string& aRequest) {
+    PresetResponse response = RespondWithPath(aRequest);
+    if (IsFor(aRequest, "/switch")) {
+      response.bytes = "HTTP/1.1 101 Switching Protocols\r\n\r\nbody";
+    }
+    return response;
+  });
+  EXPECT_EQ(Text(this->Get("/switch")), "failure, sent");
+  EXPECT_EQ(Text(this->Get("/next")), "200 /next");
+  this->StopServer();
+  EXPECT_EQ(this->server->acceptedConnections, 2);
+}
+
+} // namespace
+} // namespace tanagerseam
