--- a/endpoint/plain.cc
+++ b/endpoint/plain.cc
@@ -6,8 +6,8 @@
 // was established, so the service cannot have received it. kUnknown: the call
 // was or may have been sent, and no complete response arrived.
 //
-// A non-repeatable call uses a new connection, because the client resends a
-// request when a kept-alive connection turns out to be closed.
+// A non-repeatable call uses a new connection: on a kept one its outcome would
+// be unknown if that connection turns out to be closed.
 #include "endpoint/call_headers.h"
 
 namespace tanagerseam {
--- a/http/curl_sockets.cc
+++ b/http/curl_sockets.cc
@@ -4,8 +4,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <cerrno>
-
 #include "kernel/log.h"
 
 namespace tanagerseam {
@@ -148,26 +146,6 @@
   return use;
 }
 
-WaitingInput
-CurlSockets::InputOf(curl_socket_t aSocket)
-{
-  char byte = 0;
-  const ssize_t got =
-    ::recv(aSocket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  if (got > 0) {
-    return WaitingInput::kBytes;
-  }
-  const bool nothing = got < 0 && (errno == EAGAIN || errno == EINTR);
-  return nothing ? WaitingInput::kNothing : WaitingInput::kEnd;
-}
-
-void
-CurlSockets::Discard(curl_socket_t aSocket)
-{
-  // libcurl closes the socket once it sees the end.
-  ::shutdown(aSocket, SHUT_RDWR);
-}
-
 int
 CurlSockets::OnWanted(CURL*,
                       curl_socket_t aSocket,
--- a/http/curl_sockets.h
+++ b/http/curl_sockets.h
@@ -23,16 +23,6 @@
 
 namespace tanagerseam {
 
-// What can be read from a connection that has no request under way.
-enum class WaitingInput
-{
-  kNothing,
-  // Bytes that belong to no request of the connection.
-  kBytes,
-  // The other side closed or reset the connection.
-  kEnd,
-};
-
 class CurlSockets
 {
 public:
@@ -54,10 +44,6 @@
   ConnectionUse UseOf(curl_socket_t aSocket) const;
   // The same, and counts a request that is about to be sent.
   ConnectionUse BeginRequest(curl_socket_t aSocket);
-  // What can be read from aSocket before a request is sent on it.
-  static WaitingInput InputOf(curl_socket_t aSocket);
-  // Ends the connection of aSocket, so that libcurl does not use it again.
-  void Discard(curl_socket_t aSocket);
 
 private:
   // What libcurl waits for on one socket, and what Asio waits for.
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -1,5 +1,7 @@
 #include "http/exchange.h"
 
+#include "http/idle_connection.h"
+
 namespace tanagerseam {
 
 namespace {
@@ -14,7 +16,7 @@
   if (use.earlierRequests == 0) {
     return true;
   }
-  const WaitingInput input = CurlSockets::InputOf(aSocket);
+  const WaitingInput input = InputOf(aSocket);
   if (input == WaitingInput::kBytes) {
     LogFields fields = LogFieldsOf(use);
     fields.emplace_back("peer", aExchange.call.url);
@@ -41,7 +43,8 @@
     return CURL_PREREQFUNC_ABORT;
   }
   if (!IsQuiet(*exchange, socket)) {
-    sockets.Discard(socket);
+    // libcurl closes the socket once it sees the end.
+    EndConnection(socket);
     exchange->mustStartAgain = true;
     return CURL_PREREQFUNC_ABORT;
   }
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -7,12 +7,12 @@
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <cstring>
 #include <map>
 #include <mutex>
 #include <vector>
 
+#include "http/idle_connection.h"
 #include "kernel/log.h"
 
 namespace tanagerseam {
@@ -193,14 +193,11 @@
 bool
 CanCarryARequest(curl_socket_t aSocket, const std::string& aUrl)
 {
-  char byte = 0;
-  const ssize_t got =
-    ::recv(aSocket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  if (got > 0) {
+  const WaitingInput input = InputOf(aSocket);
+  if (input == WaitingInput::kBytes) {
     LogWarn("bytes_on_idle_connection", { { "peer", aUrl } });
-    return false;
   }
-  return got < 0 && (errno == EAGAIN || errno == EINTR);
+  return input == WaitingInput::kNothing;
 }
 
 // libcurl is about to send the request.
@@ -224,7 +221,7 @@
     return CURL_PREREQFUNC_OK;
   }
   // libcurl closes the socket once it sees the end.
-  ::shutdown(socket, SHUT_RDWR);
+  EndConnection(socket);
   exchange->heldBack = true;
   --exchange->timesSent;
   return CURL_PREREQFUNC_ABORT;
