--- a/gateway/response_relay.cc
+++ b/gateway/response_relay.cc
@@ -11,6 +11,14 @@
 // The longest end of an event: a line end and an empty line.
 constexpr size_t kMaxEventEndBytes = 4;
 
+// The part of aBytes in which the end of an event stands.
+std::string_view
+Last(std::string_view aBytes)
+{
+  return aBytes.substr(aBytes.size() -
+                       std::min(aBytes.size(), kMaxEventEndBytes));
+}
+
 bool
 EndsWith(const std::string& aText, std::string_view aEnd)
 {
@@ -137,12 +145,8 @@
 void
 ResponseRelay::SendPiece(std::string_view aPiece)
 {
-  this->streamTail.append(
-    aPiece.substr(aPiece.size() - std::min(aPiece.size(), kMaxEventEndBytes)));
-  this->streamTail.erase(
-    0,
-    this->streamTail.size() -
-      std::min(this->streamTail.size(), kMaxEventEndBytes));
+  this->streamTail += std::string(Last(aPiece));
+  this->streamTail = std::string(Last(this->streamTail));
   this->reply->Write(std::string(aPiece));
   if (!this->readPaused && this->reply->Unwritten() > kMaxUnsentBytes) {
     this->readPaused = true;
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Lower ones are interim.
+constexpr int kFirstFinalStatus = 200;
+
 // False if a kept connection has something to read or has ended. A connection
 // that was opened for the request is not looked at: a server that is full may
 // respond at once.
@@ -119,11 +122,10 @@
   }
   const auto expected = FirstHeader(aExchange.call.headers, header);
   const auto answered = FirstHeader(aExchange.answerHeaders, header);
-  if (answered) {
-    if (answered == expected) {
-      return true;
-    }
-  } else if (MayLackCorrelation(aExchange, expected.has_value())) {
+  const bool own = answered
+                     ? answered == expected
+                     : MayLackCorrelation(aExchange, expected.has_value());
+  if (own) {
     return true;
   }
   LogFields fields = LogFieldsOf(aExchange.connectionUse);
@@ -154,8 +156,7 @@
     TakeHeader(*exchange, line);
     return aLength;
   }
-  const bool interim = exchange->status < 200;
-  if (interim) {
+  if (exchange->status < kFirstFinalStatus) {
     return aLength;
   }
   exchange->foreign = !IsOwnResponse(*exchange);
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -48,7 +48,7 @@
 };
 
 // State of one call while libcurl runs it.
-struct Exchange
+struct BlockingExchange
 {
   const HttpCall* call = nullptr;
   Handle* handle = nullptr;
@@ -71,7 +71,7 @@
 size_t
 OnBody(char* aData, size_t aSize, size_t aCount, void* aExchange)
 {
-  auto* exchange = static_cast<Exchange*>(aExchange);
+  auto* exchange = static_cast<BlockingExchange*>(aExchange);
   const size_t bytes = aSize * aCount;
   exchange->lastData = Now();
   if (!exchange->wholeHead) {
@@ -204,7 +204,7 @@
 int
 BeforeSend(void* aExchange, char* aPeerIp, char*, int aPeerPort, int aLocalPort)
 {
-  auto* exchange = static_cast<Exchange*>(aExchange);
+  auto* exchange = static_cast<BlockingExchange*>(aExchange);
   ++exchange->timesSent;
   if (exchange->timesSent > 1) {
     // A kept connection ended: the server may have the request.
@@ -229,7 +229,7 @@
 
 // A line of a head that is neither whole nor that of the final response yet.
 void
-FollowHead(Exchange& aExchange, const std::string& aLine)
+FollowHead(BlockingExchange& aExchange, const std::string& aLine)
 {
   if (aLine.rfind("HTTP/", 0) == 0) {
     // The head of an interim response may have come before.
@@ -247,7 +247,7 @@
 size_t
 OnHeader(char* aData, size_t aSize, size_t aCount, void* aExchange)
 {
-  auto* exchange = static_cast<Exchange*>(aExchange);
+  auto* exchange = static_cast<BlockingExchange*>(aExchange);
   const std::string line(aData, aSize * aCount);
   if (!exchange->wholeHead) {
     FollowHead(*exchange, line);
@@ -263,7 +263,7 @@
 int
 OnProgress(void* aExchange, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
 {
-  auto* exchange = static_cast<Exchange*>(aExchange);
+  auto* exchange = static_cast<BlockingExchange*>(aExchange);
   const Millis limit = exchange->call->idleTimeout;
   if (limit.count() > 0 && Now() - exchange->lastData > limit) {
     exchange->idle = true;
@@ -277,7 +277,7 @@
 }
 
 std::string
-DetailOf(CURLcode aCode, const Exchange& aExchange)
+DetailOf(CURLcode aCode, const BlockingExchange& aExchange)
 {
   if (aCode == CURLE_OK) {
     // libcurl ends a response that is closed within its head as a success.
@@ -290,7 +290,7 @@
 }
 
 TransportFailure
-ToFailure(CURLcode aCode, const Exchange& aExchange)
+ToFailure(CURLcode aCode, const BlockingExchange& aExchange)
 {
   TransportFailure failure;
   failure.detail = DetailOf(aCode, aExchange);
@@ -328,7 +328,7 @@
 }
 
 void
-SetOptions(CURL* aEasy, const HttpCall& aCall, Exchange& aExchange)
+SetOptions(CURL* aEasy, const HttpCall& aCall, BlockingExchange& aExchange)
 {
   curl_easy_setopt(aEasy, CURLOPT_URL, aCall.url.c_str());
   curl_easy_setopt(aEasy, CURLOPT_PROTOCOLS_STR, "http,https");
@@ -366,7 +366,7 @@
 // Runs the exchange, once more on a new connection if the request was held
 // back.
 CURLcode
-RunExchange(Exchange& aExchange)
+RunExchange(BlockingExchange& aExchange)
 {
   const TimePoint start = Now();
   const CURLcode code = curl_easy_perform(aExchange.easy);
@@ -427,7 +427,7 @@
 {
   Impl::HandlePtr handle = this->impl->Take();
   CURL* easy = handle->easy;
-  Exchange exchange;
+  BlockingExchange exchange;
   exchange.call = &aCall;
   exchange.handle = handle.get();
   exchange.easy = easy;
