--- a/tests/support/port_reservations.h
+++ b/tests/support/port_reservations.h
@@ -1,7 +1,7 @@
 // Reservations of ports among all test programs of a machine: one lock file, in
 // which the byte at offset N is locked by the process that port N belongs to.
 //
-//   PortReservations reservations("/tmp/ports.lock");
+//   PortReservations reservations(folder + "/ports.lock");
 //   const bool isMine = reservations.Reserve(10000);
 #ifndef TANAGERSEAM_TESTS_SUPPORT_PORT_RESERVATIONS_H_
 #define TANAGERSEAM_TESTS_SUPPORT_PORT_RESERVATIONS_H_
