A page of the log without records does not end a read before the end

What callers would see: 404 for a turn that was answered whole, if the store's response ends with its connection right behind the two offsets. Cause: RetryingLog::ReadAll took a page without records for the end of the partition, though the page itself says that the partition goes on. Now: such a page is a fault of the log, read again after a pause until the deadline, and then the log counts as unavailable; one log line. Before: RetryingLogTest.DoesNotTakeAPageThatEndsEarlyForTheEndOfTheLog failed in both parts (0 records in place of 1; a page in place of a fault). After: passes.

--- a/program/testing/memory_log.h
+++ b/program/testing/memory_log.h
@@ -59,7 +59,9 @@
     RecordPage page;
     const auto& records = this->partitions[aPartition];
     page.end = static_cast<int64_t>(records.size());
-    for (int64_t i = aFrom; i < page.end; ++i) {
+    const bool cutShort = this->pagesCutShort > 0;
+    this->pagesCutShort -= cutShort ? 1 : 0;
+    for (int64_t i = aFrom; i < page.end && !cutShort; ++i) {
       page.records.push_back({ i, records[static_cast<size_t>(i)] });
     }
     this->Post([aDone, page] { aDone(page); });
@@ -72,6 +74,8 @@
   std::vector<LogPartition> unavailablePartitions;
   // Number of next appends that take effect but are never acknowledged.
   int lostAcks = 0;
+  // Number of next pages that hold none of their records.
+  int pagesCutShort = 0;
 
 private:
   bool IsDown(const LogPartition& aPartition) const
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -168,39 +168,60 @@
 RetryingLog::AttemptRead(const std::shared_ptr<ReadTask>& aTask)
 {
   const TimePoint sentAt = BootNow();
-  this->log.Read(
-    aTask->partition,
-    aTask->nextOffset,
-    this->AttemptTimeout(aTask->attempts, aTask->deadline, sentAt),
-    [this, aTask, sentAt](const ReadResult& aResult) {
-      if (const auto* fault = std::get_if<LogFault>(&aResult)) {
-        this->OnFailure();
-        ++aTask->attempts;
-        if (*fault == LogFault::kRejected || BootNow() >= aTask->deadline) {
-          aTask->done(aResult);
-          return;
-        }
-        this->ScheduleRetry(
-          aTask->attempts, *fault, [this, aTask] { this->AttemptRead(aTask); });
-        return;
-      }
-      this->OnSuccess(sentAt);
-      const auto& page = std::get<RecordPage>(aResult);
-      RecordPage& result = aTask->result;
-      result.first = page.first;
-      result.end = std::max(result.end, page.end);
-      result.records.insert(
-        result.records.end(), page.records.begin(), page.records.end());
-      aTask->targetEnd = aTask->targetEnd < 0 ? page.end : aTask->targetEnd;
-      aTask->nextOffset = page.records.empty()
-                            ? std::max(aTask->nextOffset, page.first)
-                            : page.records.back().offset + 1;
-      if (aTask->nextOffset >= aTask->targetEnd || page.records.empty()) {
-        aTask->done(aTask->result);
-        return;
-      }
-      this->AttemptRead(aTask);
-    });
+  this->log.Read(aTask->partition,
+                 aTask->nextOffset,
+                 this->AttemptTimeout(aTask->attempts, aTask->deadline, sentAt),
+                 [this, aTask, sentAt](const ReadResult& aResult) {
+                   if (const auto* fault = std::get_if<LogFault>(&aResult)) {
+                     this->OnReadFault(aTask, *fault);
+                     return;
+                   }
+                   this->OnSuccess(sentAt);
+                   this->OnPage(aTask, std::get<RecordPage>(aResult));
+                 });
+}
+
+void
+RetryingLog::OnReadFault(const std::shared_ptr<ReadTask>& aTask,
+                         LogFault aFault)
+{
+  this->OnFailure();
+  ++aTask->attempts;
+  if (aFault == LogFault::kRejected || BootNow() >= aTask->deadline) {
+    aTask->done(aFault);
+    return;
+  }
+  this->ScheduleRetry(
+    aTask->attempts, aFault, [this, aTask] { this->AttemptRead(aTask); });
+}
+
+void
+RetryingLog::OnPage(const std::shared_ptr<ReadTask>& aTask,
+                    const RecordPage& aPage)
+{
+  RecordPage& result = aTask->result;
+  result.first = aPage.first;
+  result.end = std::max(result.end, aPage.end);
+  result.records.insert(
+    result.records.end(), aPage.records.begin(), aPage.records.end());
+  aTask->targetEnd = aTask->targetEnd < 0 ? aPage.end : aTask->targetEnd;
+  const int64_t readFrom = aTask->nextOffset;
+  aTask->nextOffset = aPage.records.empty() ? std::max(readFrom, aPage.first)
+                                            : aPage.records.back().offset + 1;
+  if (aTask->nextOffset >= aTask->targetEnd) {
+    aTask->done(result);
+    return;
+  }
+  if (aTask->nextOffset == readFrom) {
+    LogWarn("log_page_cut_short",
+            { { "topic", aTask->partition.topic },
+              { "partition", std::to_string(aTask->partition.number) },
+              { "from", std::to_string(readFrom) },
+              { "end", std::to_string(aTask->targetEnd) } });
+    this->OnReadFault(aTask, LogFault::kUnavailable);
+    return;
+  }
+  this->AttemptRead(aTask);
 }
 
 } // namespace tanagerseam
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -31,7 +31,8 @@
               std::string aRecord,
               TimePoint aDeadline,
               std::function<void(const AppendResult&)> aDone);
-  // Reads all records from aFrom to the end offset of the first response.
+  // Reads all records from aFrom to the end offset of the first response. A
+  // page without records before that offset is read again.
   void ReadAll(const LogPartition& aPartition,
                int64_t aFrom,
                TimePoint aDeadline,
@@ -52,6 +53,8 @@
 
   void AttemptAppend(const std::shared_ptr<AppendTask>& aTask);
   void AttemptRead(const std::shared_ptr<ReadTask>& aTask);
+  void OnReadFault(const std::shared_ptr<ReadTask>& aTask, LogFault aFault);
+  void OnPage(const std::shared_ptr<ReadTask>& aTask, const RecordPage& aPage);
   // Retries at once if the response was lost, otherwise after an exponential
   // backoff.
   void ScheduleRetry(int aAttempts,
--- a/recordlog/testing/persistent_log_test.cc
+++ b/recordlog/testing/persistent_log_test.cc
@@ -2,6 +2,7 @@
 // unavailable log.
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <thread>
 
 #include "program/testing/memory_log.h"
@@ -31,6 +32,18 @@
     this->io.run_for(aDuration);
   }
 
+  // The result of reading the whole partition; unset if none came in time.
+  std::optional<ReadResult> ReadAll(Millis aWait)
+  {
+    std::optional<ReadResult> result;
+    this->retryingLog.ReadAll(
+      { "topic", 0 }, 0, BootNow() + aWait, [&result](const ReadResult& aRead) {
+        result = aRead;
+      });
+    this->RunFor(aWait + Millis(500));
+    return result;
+  }
+
   restinio::asio_ns::io_context io;
   MemoryLog log{ io };
   RetryingLog retryingLog{ io, log };
@@ -69,5 +82,29 @@
   EXPECT_EQ(this->appended, 1);
 }
 
+// Guards against a page that ends before its records, as one without a length
+// may if its connection is closed: a turn in the log was taken for unknown.
+TEST_F(RetryingLogTest, DoesNotTakeAPageThatEndsEarlyForTheEndOfTheLog)
+{
+  this->Append(Millis(500));
+  this->RunFor(Millis(50));
+  ASSERT_EQ(this->appended, 1);
+  {
+    SCOPED_TRACE("the page is read again");
+    this->log.pagesCutShort = 2;
+    const auto result = this->ReadAll(Millis(1000));
+    ASSERT_TRUE(result.has_value());
+    ASSERT_TRUE(std::holds_alternative<RecordPage>(*result));
+    EXPECT_EQ(std::get<RecordPage>(*result).records.size(), 1u);
+  }
+  {
+    SCOPED_TRACE("or the log counts as unavailable");
+    this->log.pagesCutShort = 1000;
+    const auto result = this->ReadAll(Millis(300));
+    ASSERT_TRUE(result.has_value());
+    EXPECT_TRUE(std::holds_alternative<LogFault>(*result));
+  }
+}
+
 } // namespace
 } // namespace tanagerseam
