Streams that end before an event or never end an event are broken, within a memory

Cause: the relay knew the last four bytes of a stream, the parser of CallFlow knew the events, neither knew the framing. An event over the parser's limit only made a log line. Each response had a limit of 8 MiB, all together none. Change: the relay has the parser (it serves forwarded calls too), so it knows whether an event is open and whether any came; with the framing "close" one must have come. An event over 1 MiB ends the response. `ended`, `broken` and `forward_ended` name framing and body_bytes. Left: a cut exactly between two events, or in a body that is no event stream, without a length and by an orderly close: no byte tells.

--- a/endpoint/sse_parser.cc
+++ b/endpoint/sse_parser.cc
@@ -6,9 +6,7 @@
 SseParser::ProcessLine(std::string_view aLine,
                        const std::function<bool(std::string_view)>& aOnEvent)
 {
-  if (!aLine.empty() && aLine.back() == '\r') {
-    aLine.remove_suffix(1);
-  }
+  this->eventOpen = !aLine.empty();
   if (aLine.empty()) {
     const bool eventHasData = this->hasData;
     const std::string event = std::move(this->data);
@@ -41,7 +39,13 @@
                 const std::function<bool(std::string_view)>& aOnEvent)
 {
   while (!aBytes.empty()) {
-    const size_t end = aBytes.find('\n');
+    const bool isRestOfLineEnd = this->afterReturn && aBytes.front() == '\n';
+    this->afterReturn = false;
+    if (isRestOfLineEnd) {
+      aBytes.remove_prefix(1);
+      continue;
+    }
+    const size_t end = aBytes.find_first_of("\r\n");
     const std::string_view part = aBytes.substr(0, end);
     if (this->partialLine.size() + part.size() > kMaxEventBytes) {
       this->tooLong = true;
@@ -53,6 +57,7 @@
     }
     const std::string line = std::move(this->partialLine);
     this->partialLine.clear();
+    this->afterReturn = aBytes[end] == '\r';
     if (!this->ProcessLine(line, aOnEvent)) {
       return false;
     }
--- a/endpoint/sse_parser.h
+++ b/endpoint/sse_parser.h
@@ -25,6 +25,16 @@
   bool Feed(std::string_view aBytes,
             const std::function<bool(std::string_view)>& aOnEvent);
   bool TooLong() const { return this->tooLong; }
+  // True if no event has begun since the last one ended.
+  bool BetweenEvents() const
+  {
+    return this->partialLine.empty() && !this->eventOpen;
+  }
+  // Bytes of the event that has not ended.
+  size_t BufferedBytes() const
+  {
+    return this->partialLine.size() + this->data.size();
+  }
 
 private:
   bool ProcessLine(std::string_view aLine,
@@ -35,6 +45,10 @@
   // The data lines of the current event so far.
   std::string data;
   bool hasData = false;
+  // A line of the current event has ended.
+  bool eventOpen = false;
+  // The last line ended with a carriage return: a line feed belongs to it.
+  bool afterReturn = false;
   bool tooLong = false;
 };
 
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -35,6 +35,7 @@
   , deadline(this->arrivedAt + Millis(1000))
   , timer(aState.dependencies.io)
   , dispatchId(aState.nextDispatchId++)
+  , turnOutput(aState.responseMemory)
 {
   ++this->state.inFlightCalls;
 }
@@ -64,10 +65,10 @@
 }
 
 LogFields
-CallFlow::WithConnection(LogFields aFields) const
+CallFlow::WithExchange(LogFields aFields) const
 {
-  const LogFields connection = LogFieldsOf(this->connectionUse);
-  aFields.insert(aFields.end(), connection.begin(), connection.end());
+  const LogFields exchange = LogFieldsOf(this->lastExchange);
+  aFields.insert(aFields.end(), exchange.begin(), exchange.end());
   return this->WithCallIds(std::move(aFields));
 }
 
@@ -122,16 +123,13 @@
   handlers.onHead = [self](const EndpointResponseHead& aHead) {
     self->OnHead(aHead);
   };
-  handlers.onStreamPiece = [self](std::string_view aPiece) {
-    self->RecordEvents(aPiece);
+  handlers.onEvent = [self](std::string_view aData) {
+    return self->RecordEvent(aData);
   };
   handlers.onDone = [self](const EventOutcome& aOutcome) {
     self->OnDone(aOutcome);
   };
-  this->relay =
-    std::make_shared<ResponseRelay>(this->state.dependencies.client,
-                                    this->state.dependencies.dialect,
-                                    this->reply);
+  this->relay = this->state.MakeRelay(this->reply);
   this->relay->Start(std::move(out), std::move(handlers));
 }
 
@@ -180,7 +178,7 @@
   if (this->ended || !this->exchangeActive) {
     return;
   }
-  this->connectionUse = aOutcome.connectionUse;
+  this->lastExchange = aOutcome;
   if (aOutcome.error == EventError::kForeignResponse ||
       aOutcome.connectionUse.foundStrayBytes) {
     this->state.connections.OnStrayResponse(this->service, BootNow());
@@ -248,11 +246,14 @@
 void
 CallFlow::OnExchangeFailed(const EventOutcome& aOutcome)
 {
-  LogInfo(
-    "broken",
-    this->WithConnection({ { "endpoint", this->endpointId },
-                           { "error", std::string(NameOf(aOutcome.error)) },
-                           { "detail", aOutcome.detail } }));
+  LogInfo("broken",
+          this->WithExchange({ { "endpoint", this->endpointId },
+                               { "error", std::string(NameOf(aOutcome.error)) },
+                               { "detail", aOutcome.detail } }));
+  if (this->relay->EventTooLong()) {
+    LogWarn("event_too_long",
+            this->WithCallIds({ { "endpoint", this->endpointId } }));
+  }
   if (this->IsStreaming()) {
     this->Abort("endpoint_broke_off");
     return;
@@ -447,11 +448,11 @@
     static_cast<double>(took) / 1000);
   LogInfo(
     "ended",
-    this->WithConnection({ { "how", aOutcome },
-                           { "status", std::to_string(this->ResponseStatus()) },
-                           { "endpoint", this->endpointId },
-                           { "took_ms", std::to_string(took) },
-                           { "tokens", std::to_string(this->usedTokens) } }));
+    this->WithExchange({ { "how", aOutcome },
+                         { "status", std::to_string(this->ResponseStatus()) },
+                         { "endpoint", this->endpointId },
+                         { "took_ms", std::to_string(took) },
+                         { "tokens", std::to_string(this->usedTokens) } }));
 }
 
 } // namespace tanagerseam
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -15,7 +15,6 @@
 #include <set>
 #include <string>
 
-#include "endpoint/sse_parser.h"
 #include "gateway/gateway_state.h"
 #include "gateway/response_relay.h"
 
@@ -76,8 +75,9 @@
   void Retry();
 
   // ---- event streams
-  // Counts the events of a piece, and keeps them for the history.
-  void RecordEvents(std::string_view aPiece);
+  // Counts an event, and keeps its data for the history. False if there is no
+  // room for it.
+  bool RecordEvent(std::string_view aData);
   // Writes the turn to the record log if the route keeps history, then finishes
   // the stream; aborts it if the write fails.
   void PersistTurn();
@@ -109,7 +109,7 @@
   // The head of an event stream has been sent to the client.
   bool IsStreaming() const;
   LogFields WithCallIds(LogFields aFields) const;
-  LogFields WithConnection(LogFields aFields) const;
+  LogFields WithExchange(LogFields aFields) const;
 
   GatewayState& state;
   ServiceCall call;
@@ -153,10 +153,9 @@
   TimePoint sentAt{};
   TimePoint firstEventAt{};
   // Of the last attempt that ended.
-  ConnectionUse connectionUse;
-  SseParser sseParser;
+  EventOutcome lastExchange;
   // Data of all events of the turn, for the history.
-  std::string turnOutput;
+  GatheredBody turnOutput;
 };
 
 } // namespace tanagerseam
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -4,31 +4,20 @@
 
 namespace tanagerseam {
 
-void
-CallFlow::RecordEvents(std::string_view aPiece)
+bool
+CallFlow::RecordEvent(std::string_view aData)
 {
-  const bool recordOutput = this->route->retainsHistory;
-  const bool parsed =
-    this->sseParser.Feed(aPiece, [this, recordOutput](std::string_view aData) {
-      if (this->firstEventAt == TimePoint{}) {
-        this->firstEventAt = BootNow();
-        const auto firstEventLatency = this->firstEventAt - this->arrivedAt;
-        this->state.dependencies.metrics.Observe(
-          "tanagerseam_first_event_seconds",
-          {},
-          std::chrono::duration<double>(firstEventLatency).count());
-      }
-      this->usedTokens += this->tokensPerEvent;
-      if (recordOutput) {
-        this->turnOutput.append(aData);
-        this->turnOutput.push_back('\n');
-      }
-      return true;
-    });
-  if (!parsed) {
-    LogWarn("event_too_long",
-            this->WithCallIds({ { "endpoint", this->endpointId } }));
+  if (this->firstEventAt == TimePoint{}) {
+    this->firstEventAt = BootNow();
+    const auto firstEventLatency = this->firstEventAt - this->arrivedAt;
+    this->state.dependencies.metrics.Observe(
+      "tanagerseam_first_event_seconds",
+      {},
+      std::chrono::duration<double>(firstEventLatency).count());
   }
+  this->usedTokens += this->tokensPerEvent;
+  return !this->route->retainsHistory ||
+         (this->turnOutput.Append(aData) && this->turnOutput.Append("\n"));
 }
 
 void
@@ -44,7 +33,7 @@
     this->organisation == nullptr ? "" : this->organisation->name;
   turn.previous = this->call.program ? this->call.program->previousTurn : "";
   turn.input = this->call.body;
-  turn.output = this->turnOutput;
+  turn.output = this->turnOutput.Text();
   this->state.history.Store(std::move(turn),
                             this->priorTranscript,
                             this->deadline,
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -58,10 +58,7 @@
   RelayHandlers handlers;
   handlers.onDone = [self = this->shared_from_this()](
                       const EventOutcome& aOutcome) { self->OnDone(aOutcome); };
-  this->relay =
-    std::make_shared<ResponseRelay>(this->state.dependencies.client,
-                                    this->state.dependencies.dialect,
-                                    this->reply);
+  this->relay = this->state.MakeRelay(this->reply);
   this->relay->Start(std::move(out), std::move(handlers));
 }
 
@@ -72,7 +69,7 @@
     return;
   }
   const std::string detail(NameOf(aOutcome.error));
-  this->connectionUse = aOutcome.connectionUse;
+  this->lastExchange = aOutcome;
   if (aOutcome.error == EventError::kNone && this->relay->IsStreaming()) {
     this->reply->End();
     this->End("answered", detail);
@@ -123,8 +120,8 @@
                        { "status", std::to_string(this->relay->Head().status) },
                        { "detail", aDetail },
                        { "took_ms", std::to_string(took) } };
-  const LogFields connection = LogFieldsOf(this->connectionUse);
-  fields.insert(fields.end(), connection.begin(), connection.end());
+  const LogFields exchange = LogFieldsOf(this->lastExchange);
+  fields.insert(fields.end(), exchange.begin(), exchange.end());
   LogInfo("forward_ended", fields);
 }
 
--- a/gateway/forwarded_call.h
+++ b/gateway/forwarded_call.h
@@ -52,7 +52,7 @@
   const TimePoint deadline;
   const TimePoint startedAt;
   std::shared_ptr<ResponseRelay> relay;
-  ConnectionUse connectionUse;
+  EventOutcome lastExchange;
   bool ended = false;
 };
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -40,6 +40,7 @@
                            GatewayDependencies aDependencies)
   : settings(std::move(aSettings))
   , dependencies(aDependencies)
+  , responseMemory(std::make_shared<ByteBudget>(settings.maxResponseBytes))
   , dispatcher(MakeDispatchSettings(this->settings))
   , quota(this->settings.host,
           this->settings.startTime,
@@ -118,6 +119,15 @@
   this->dependencies.link.SetPeers(std::move(others));
 }
 
+std::shared_ptr<ResponseRelay>
+GatewayState::MakeRelay(const std::shared_ptr<EventReply>& aReply) const
+{
+  return std::make_shared<ResponseRelay>(this->dependencies.client,
+                                         this->dependencies.dialect,
+                                         aReply,
+                                         this->responseMemory);
+}
+
 void
 GatewayState::SendQueuedCalls()
 {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway/connection_policy.h"
 #include "gateway/gateway.h"
 #include "gateway/peer_table.h"
+#include "gateway/response_relay.h"
 #include "gateway/turn_budgets.h"
 
 namespace tanagerseam {
@@ -36,11 +37,16 @@
   bool Ready(TimePoint aNow) const;
   // Passes the current members to the quota, the budgets and the fleet link.
   void UpdateMembers();
+  std::shared_ptr<ResponseRelay> MakeRelay(
+    const std::shared_ptr<EventReply>& aReply) const;
   // Sends the queued calls for which the dispatcher has an endpoint now.
   void SendQueuedCalls();
 
   GatewaySettings settings;
   GatewayDependencies dependencies;
+  // Of all responses together: gathered bodies, outputs of turns, and what
+  // waits to be sent.
+  std::shared_ptr<ByteBudget> responseMemory;
   std::shared_ptr<const Catalog> catalog;
   TimePoint catalogConfirmedAt{};
   EndpointTable endpoints;
--- a/gateway/response_relay.cc
+++ b/gateway/response_relay.cc
@@ -1,38 +1,10 @@
 #include "gateway/response_relay.h"
 
-#include <algorithm>
-
 namespace tanagerseam {
 
 namespace {
 
-constexpr size_t kMaxUnsentBytes = 256u << 10;
-
-// The longest end of an event: a line end and an empty line.
-constexpr size_t kMaxEventEndBytes = 4;
-
-// The part of aBytes in which the end of an event stands.
-std::string_view
-Last(std::string_view aBytes)
-{
-  return aBytes.substr(aBytes.size() -
-                       std::min(aBytes.size(), kMaxEventEndBytes));
-}
-
-bool
-EndsWith(const std::string& aText, std::string_view aEnd)
-{
-  return aText.size() >= aEnd.size() &&
-         aText.compare(aText.size() - aEnd.size(), aEnd.size(), aEnd) == 0;
-}
-
-// True if nothing, or an empty line, is at the end of a stream.
-bool
-IsBetweenEvents(const std::string& aStreamTail)
-{
-  return aStreamTail.empty() || EndsWith(aStreamTail, "\n\n") ||
-         EndsWith(aStreamTail, "\r\n\r\n") || EndsWith(aStreamTail, "\r\r");
-}
+constexpr size_t kMaxUnsentBytes = 64u << 10;
 
 bool
 IsSuccess(int aStatus)
@@ -44,10 +16,14 @@
 
 ResponseRelay::ResponseRelay(EventClient& aClient,
                              const Dialect& aDialect,
-                             std::shared_ptr<EventReply> aReply)
+                             std::shared_ptr<EventReply> aReply,
+                             const std::shared_ptr<ByteBudget>& aMemory)
   : client(aClient)
   , dialect(aDialect)
   , reply(std::move(aReply))
+  , body(aMemory)
+  , partialEvent(aMemory)
+  , unsent(aMemory)
 {
 }
 
@@ -63,8 +39,7 @@
     return true;
   };
   eventHandlers.onData = [self, handlers](std::string_view aPiece) {
-    self->OnData(*handlers, aPiece);
-    return true;
+    return self->OnData(*handlers, aPiece);
   };
   eventHandlers.onDone = [self, handlers](const EventOutcome& aOutcome) {
     self->OnDone(*handlers, aOutcome);
@@ -82,8 +57,7 @@
 void
 ResponseRelay::SendWhole()
 {
-  this->reply->Send(
-    this->head.status, this->head.headers, std::move(this->body));
+  this->reply->Send(this->head.status, this->head.headers, this->body.Take());
 }
 
 void
@@ -113,17 +87,42 @@
   this->reply->Begin(this->head.status, this->head.headers);
 }
 
-void
+bool
 ResponseRelay::OnData(const RelayHandlers& aHandlers, std::string_view aPiece)
 {
   if (!this->streaming) {
-    this->body.append(aPiece);
-    return;
+    return this->body.Append(aPiece) || this->Fail("no memory for the body");
   }
-  if (aHandlers.onStreamPiece) {
-    aHandlers.onStreamPiece(aPiece);
+  if (!this->ParseEvents(aHandlers, aPiece)) {
+    return false;
   }
   this->SendPiece(aPiece);
+  return true;
+}
+
+bool
+ResponseRelay::ParseEvents(const RelayHandlers& aHandlers,
+                           std::string_view aPiece)
+{
+  const bool taken =
+    this->parser.Feed(aPiece, [this, &aHandlers](std::string_view aData) {
+      ++this->events;
+      return !aHandlers.onEvent || aHandlers.onEvent(aData);
+    });
+  if (this->parser.TooLong()) {
+    return this->Fail("an event is longer than allowed");
+  }
+  if (!taken || !this->partialEvent.Resize(this->parser.BufferedBytes())) {
+    return this->Fail("no memory for the events");
+  }
+  return true;
+}
+
+bool
+ResponseRelay::Fail(const char* aDetail)
+{
+  this->tooLarge = aDetail;
+  return false;
 }
 
 void
@@ -134,21 +133,36 @@
     return;
   }
   EventOutcome outcome = aOutcome;
-  if (outcome.error == EventError::kNone && this->streaming &&
-      !IsBetweenEvents(this->streamTail)) {
-    outcome.error = EventError::kBroken;
-    outcome.detail = "event stream ended within an event";
+  if (this->tooLarge != nullptr) {
+    outcome.error = EventError::kTooLarge;
+    outcome.detail = this->tooLarge;
+  } else if (outcome.error == EventError::kNone && this->streaming) {
+    this->CheckStreamEnd(outcome);
   }
   aHandlers.onDone(outcome);
 }
 
+void
+ResponseRelay::CheckStreamEnd(EventOutcome& aOutcome) const
+{
+  if (!this->parser.BetweenEvents()) {
+    aOutcome.error = EventError::kBroken;
+    aOutcome.detail = "event stream ended within an event";
+  } else if (this->events == 0 &&
+             aOutcome.body.framing == BodyFraming::kClose) {
+    aOutcome.error = EventError::kBroken;
+    aOutcome.detail = "connection closed before the first event";
+  }
+}
+
 void
 ResponseRelay::SendPiece(std::string_view aPiece)
 {
-  this->streamTail += std::string(Last(aPiece));
-  this->streamTail = std::string(Last(this->streamTail));
   this->reply->Write(std::string(aPiece));
-  if (!this->readPaused && this->reply->Unwritten() > kMaxUnsentBytes) {
+  const size_t unwritten = this->reply->Unwritten();
+  const bool full =
+    !this->unsent.Resize(unwritten) || unwritten > kMaxUnsentBytes;
+  if (!this->readPaused && full) {
     this->readPaused = true;
     this->client.Pause(this->exchange, true);
   }
@@ -158,6 +172,7 @@
 void
 ResponseRelay::ResumeReading()
 {
+  this->unsent.Resize(0);
   if (this->readPaused) {
     this->readPaused = false;
     this->client.Pause(this->exchange, false);
--- a/gateway/response_relay.h
+++ b/gateway/response_relay.h
@@ -14,10 +14,11 @@
 // references to the owner.
 //
 // An event stream that ends within an event is a failure, however its end was
-// framed.
+// framed. So is one whose only end is that of its connection, if no event came.
 //
-// Backpressure: reading pauses while more than kMaxUnsentBytes wait to be sent
-// to the client.
+// Memory: the relays of a host share one budget. A response that it has no room
+// for is a failure; reading pauses while more than kMaxUnsentBytes, or more
+// than the budget allows, wait to be sent to the client.
 #ifndef TANAGERSEAM_GATEWAY_RESPONSE_RELAY_H_
 #define TANAGERSEAM_GATEWAY_RESPONSE_RELAY_H_
 
@@ -27,6 +28,8 @@
 #include <string_view>
 
 #include "call/call.h"
+#include "endpoint/sse_parser.h"
+#include "http/byte_budget.h"
 
 namespace tanagerseam {
 
@@ -35,8 +38,9 @@
 {
   // The head of the response, before anything is sent to the client.
   std::function<void(const EndpointResponseHead&)> onHead;
-  // A piece of an event stream, before it is sent to the client.
-  std::function<void(std::string_view)> onStreamPiece;
+  // The data of an event, before its end is sent to the client. False ends the
+  // exchange: there is no room for it.
+  std::function<bool(std::string_view)> onEvent;
   // The end of the exchange, once.
   std::function<void(const EventOutcome&)> onDone;
 };
@@ -46,7 +50,8 @@
 public:
   ResponseRelay(EventClient& aClient,
                 const Dialect& aDialect,
-                std::shared_ptr<EventReply> aReply);
+                std::shared_ptr<EventReply> aReply,
+                const std::shared_ptr<ByteBudget>& aMemory);
   ResponseRelay(const ResponseRelay&) = delete;
   ResponseRelay& operator=(const ResponseRelay&) = delete;
 
@@ -60,13 +65,21 @@
   const EndpointResponseHead& Head() const { return this->head; }
   // The head of an event stream has been sent to the client.
   bool IsStreaming() const { return this->streaming; }
+  // The exchange ended because an event was longer than SseParser allows.
+  bool EventTooLong() const { return this->parser.TooLong(); }
 
 private:
   void OnHeaders(const RelayHandlers& aHandlers,
                  int aStatus,
                  const HttpHeaders& aHeaders);
   void BeginStream();
-  void OnData(const RelayHandlers& aHandlers, std::string_view aPiece);
+  // False ends the exchange.
+  bool OnData(const RelayHandlers& aHandlers, std::string_view aPiece);
+  bool ParseEvents(const RelayHandlers& aHandlers, std::string_view aPiece);
+  // Keeps the cause for OnDone; returns false.
+  bool Fail(const char* aDetail);
+  // Makes a stream that is not whole a failure.
+  void CheckStreamEnd(EventOutcome& aOutcome) const;
   void SendPiece(std::string_view aPiece);
   void OnDone(const RelayHandlers& aHandlers, const EventOutcome& aOutcome);
   void ResumeReading();
@@ -76,9 +89,13 @@
   std::shared_ptr<EventReply> reply;
   EventClient::CallId exchange = 0;
   EndpointResponseHead head;
-  std::string body;
-  // The last bytes of an event stream.
-  std::string streamTail;
+  GatheredBody body;
+  SseParser parser;
+  size_t events = 0;
+  ByteShare partialEvent;
+  ByteShare unsent;
+  // Why the response ended at a limit; null if it did not.
+  const char* tooLarge = nullptr;
   bool streaming = false;
   bool readPaused = false;
 };
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -34,10 +34,11 @@
 public:
   GatewayHost(restinio::asio_ns::io_context& aIo,
               RecordLog& aLog,
-              const std::string& aName)
+              const std::string& aName,
+              size_t aMaxResponseBytes = GatewaySettings{}.maxResponseBytes)
     : client(aIo, EventClientSettings{})
     , link(aIo, { aName, 1, "127.0.0.1", this->linkPort })
-    , gateway(MakeSettings(aName, this->port),
+    , gateway(MakeSettings(aName, this->port, aMaxResponseBytes),
               GatewayDependencies{ aIo, client, dialect, aLog, link, metrics })
   {
     EventServerSettings settings;
@@ -53,7 +54,9 @@
     aIo.run_for(Millis(5));
   }
 
-  static GatewaySettings MakeSettings(const std::string& aName, uint16_t aPort)
+  static GatewaySettings MakeSettings(const std::string& aName,
+                                      uint16_t aPort,
+                                      size_t aMaxResponseBytes)
   {
     GatewaySettings settings;
     settings.host = aName;
@@ -61,6 +64,7 @@
     settings.zone = "zone-a";
     settings.startTime = 1;
     settings.freshStart = true;
+    settings.maxResponseBytes = aMaxResponseBytes;
     return settings;
   }
 
@@ -140,6 +144,15 @@
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+// The head of an event stream that ends with its connection.
+inline std::string
+MakeStreamHeadWithoutLength(const std::string& aRequest)
+{
+  const std::string framing = "Transfer-Encoding: chunked\r\n";
+  std::string head = MakeStreamHead(aRequest);
+  return head.erase(head.find(framing), framing.size());
+}
+
 inline std::string
 BodyOf(const std::string& aMessage)
 {
--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -1,5 +1,8 @@
 // A client gets the whole response to its own request, from endpoints whose
 // responses are wrong, late, duplicated, cut or missing.
+#include <algorithm>
+
+#include "endpoint/sse_parser.h"
 #include "gateway/testing/gateway_fixture.h"
 
 namespace tanagerseam {
@@ -192,15 +195,10 @@
 // client took it for whole, and the turn was kept.
 TEST_F(GatewayTurnTest, DoesNotCompleteAStreamThatEndsWithinAnEvent)
 {
-  const auto withoutLength = [](const std::string& aRequest) {
-    const std::string framing = "Transfer-Encoding: chunked\r\n";
-    std::string head = MakeStreamHead(aRequest);
-    return head.erase(head.find(framing), framing.size());
-  };
   std::string events = "id: 1\ndata: one\n\nid: 2\nda";
   RawEndpoint engine(this->io, [&](const std::string& aRequest) {
     PresetResponse response;
-    response.bytes = withoutLength(aRequest) + events;
+    response.bytes = MakeStreamHeadWithoutLength(aRequest) + events;
     response.close = true;
     return response;
   });
@@ -218,6 +216,146 @@
   }
 }
 
+// Guards against a stream without a length that ends before its first event:
+// the client took it for whole, and the turn was kept.
+TEST_F(GatewayTurnTest, DoesNotCompleteAStreamThatEndsBeforeItsFirstEvent)
+{
+  std::string comment;
+  std::string end = "close";
+  RawEndpoint engine(this->io, [&](const std::string& aRequest) {
+    PresetResponse response;
+    const bool inChunks = end == "last chunk";
+    response.bytes = (inChunks ? MakeStreamHead(aRequest)
+                               : MakeStreamHeadWithoutLength(aRequest)) +
+                     (inChunks ? "0\r\n\r\n" : comment);
+    response.close = true;
+    response.reset = end == "reset";
+    return response;
+  });
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  for (const char* sent : { "", ": comment\n\n" }) {
+    for (const char* how : { "close", "reset" }) {
+      SCOPED_TRACE(std::string(sent) + how);
+      comment = sent;
+      end = how;
+      EXPECT_FALSE(IsCompleteResponse(
+        this->SendAndReceive(this->host, this->TurnRequest("t-1", "", "x"))));
+      EXPECT_EQ(StatusOf(this->SendAndReceive(
+                  this->host, this->TurnRequest("t-2", "t-1", "y"))),
+                404);
+    }
+  }
+  {
+    SCOPED_TRACE("one whose last chunk came is whole");
+    end = "last chunk";
+    EXPECT_TRUE(IsCompleteResponse(
+      this->SendAndReceive(this->host, this->TurnRequest("t-3", "", "x"))));
+  }
+}
+
+// Guards against a stream without a length that is cut at any byte.
+TEST_F(GatewayTurnTest, CompletesAStreamWithoutALengthOnlyBehindAnEvent)
+{
+  const std::string events = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+  const size_t firstEnd = events.find("\n\n") + 2;
+  size_t length = 0;
+  RawEndpoint engine(this->io, [&](const std::string& aRequest) {
+    PresetResponse response;
+    response.bytes =
+      MakeStreamHeadWithoutLength(aRequest) + events.substr(0, length);
+    response.close = true;
+    return response;
+  });
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  for (length = 0; length <= events.size(); ++length) {
+    const bool betweenEvents = length == firstEnd || length == events.size();
+    const std::string id = "t-" + std::to_string(length);
+    EXPECT_EQ(IsCompleteResponse(this->SendAndReceive(
+                this->host, this->TurnRequest(id, "", "x"))),
+              betweenEvents)
+      << length;
+  }
+}
+
+// Guards against an event without end: it was passed on until the deadline, and
+// the turn was kept without it.
+TEST_F(GatewayTurnTest, BreaksOffAnEventWithoutEnd)
+{
+  RawEndpoint engine(this->io, [](const std::string& aRequest) {
+    PresetResponse response;
+    response.bytes =
+      MakeStreamHeadWithoutLength(aRequest) + "data: one\n\ndata: ";
+    response.endless = std::string(8192, 'x');
+    return response;
+  });
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  const TimePoint start = BootNow();
+  const std::string response =
+    this->SendAndReceive(this->host, this->TurnRequest("t-1", "", "x"));
+  EXPECT_LT(BootNow() - start, Millis(800));
+  EXPECT_FALSE(IsCompleteResponse(response));
+  EXPECT_LT(response.size(), 3 * SseParser::kMaxEventBytes);
+  EXPECT_EQ(engine.endlessResponses, 0);
+  EXPECT_EQ(StatusOf(this->SendAndReceive(
+              this->host, this->TurnRequest("t-2", "t-1", "y"))),
+            404);
+}
+
+// Guards against many large responses at once: each was below its own limit,
+// and the host held them all.
+TEST_F(GatewayTest, BoundsTheMemoryOfAllResponses)
+{
+  constexpr size_t kMaxResponseBytes = 1u << 20;
+  constexpr size_t kLargeBytes = 256u << 10;
+  constexpr size_t kCalls = 12;
+  GatewayHost small(this->io, this->log, "host-2", kMaxResponseBytes);
+  // Its body ends later than the deadline of a call.
+  RawEndpoint stalling(this->io, [](const std::string& aRequest) {
+    PresetResponse response;
+    response.bytes = MakeResponse(aRequest, std::string(2 * kLargeBytes, 'x'));
+    response.bytes.resize(response.bytes.size() - kLargeBytes);
+    response.delay = Millis(5000);
+    return response;
+  });
+  small.ApplyCatalog();
+  small.AddEndpoint("t-1", "tools", stalling.Address());
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (size_t i = 0; i < kCalls; ++i) {
+    clients.push_back(std::make_unique<RawClient>(this->io, small.port));
+    clients.back()->Send(
+      this->Request("POST", "/charge/1", "r-" + std::to_string(i), "x"));
+  }
+  const auto countWithStatus = [&clients](int aStatus) {
+    return std::count_if(
+      clients.begin(), clients.end(), [aStatus](const auto& aClient) {
+        return StatusOf(aClient->Received()) == aStatus;
+      });
+  };
+  {
+    SCOPED_TRACE("the calls without room end at once, their outcome unknown");
+    const auto kept =
+      static_cast<std::ptrdiff_t>(kMaxResponseBytes / kLargeBytes);
+    const auto ended = static_cast<std::ptrdiff_t>(kCalls) - kept - 1;
+    const TimePoint start = BootNow();
+    EXPECT_TRUE(this->RunUntil([&] { return countWithStatus(502) >= ended; }));
+    EXPECT_LT(BootNow() - start, Millis(500));
+  }
+  {
+    SCOPED_TRACE("small responses have room beside large ones");
+    RawEndpoint sound(this->io, [](const std::string& aRequest) {
+      return PresetResponse{ MakeResponse(aRequest, "done") };
+    });
+    small.AddEndpoint("t-1", "tools", sound.Address());
+    EXPECT_EQ(StatusOf(this->SendAndReceive(
+                small, this->Request("POST", "/charge/1", "r-small", "x"))),
+              200);
+  }
+  {
+    SCOPED_TRACE("all have an answer at their deadline");
+    EXPECT_TRUE(this->RunUntil([&] { return countWithStatus(0) == 0; }));
+  }
+}
+
 // Guards against a success that names no request: endpoints name it in all
 // responses to a call.
 TEST_F(GatewayTest, DropsASuccessWithoutId)
