A call that waits for an owner stops when its key is withdrawn

Cause: two loops wait without looking at the key. RateService::AcquireToken waits up to kMaxTokenWait = 8000 ms for the owner of the organisation's rate; the router waits for the owner of the slot until the call's deadline. Under load a lease lapses and there is no owner just then. Change: both loops check the key in each round, the router also while a peer that may not know of the withdrawal works on the call; what was handed to a peer may have run and is refused so.

--- a/daemon/caller_front.cc
+++ b/daemon/caller_front.cc
@@ -148,7 +148,7 @@
     refusal = this->FillCall(aRequest, aCall, aMetadata);
   }
   if (!refusal && !aCall.organisation.empty()) {
-    refusal = this->rates.AcquireToken(aCall.organisation, aCall.deadline);
+    refusal = this->rates.AcquireToken(aCall);
     if (refusal && HasStartedRequest(this->context, aCall)) {
       refusal->ran = RanState::kUnknown;
     }
--- a/daemon/rate_service.cc
+++ b/daemon/rate_service.cc
@@ -95,32 +95,37 @@
 };
 
 std::optional<Refusal>
-RateService::AcquireToken(const std::string& aOrganisation, TimePoint aDeadline)
+RateService::AcquireToken(const CallRequest& aCall)
 {
-  const TimePoint waitUntil = std::min(aDeadline, Now() + kMaxTokenWait);
-  WaiterPermit permit(*this, aOrganisation);
+  const std::string& organisation = aCall.organisation;
+  const TimePoint waitUntil = std::min(aCall.deadline, Now() + kMaxTokenWait);
+  WaiterPermit permit(*this, organisation);
   while (true) {
     const TimePoint requestedAt = Now();
-    std::optional<RateDecision> decision = this->RequestToken(aOrganisation);
+    std::optional<RateDecision> decision = this->RequestToken(organisation);
     const TimePoint now = Now();
     const bool usable = now - requestedAt < kMaxGrantAge;
     if (decision && decision->granted && usable) {
       std::lock_guard<std::mutex> lock(this->mutex);
-      this->loans.Add(aOrganisation, *decision, requestedAt);
+      this->loans.Add(organisation, *decision, requestedAt);
       return std::nullopt;
     }
     if (!decision) {
-      this->RecordOwnerFailure(aOrganisation, now);
+      this->RecordOwnerFailure(organisation, now);
     }
     const bool denied = decision && !decision->granted;
-    if ((!decision || denied) && this->ConsumeLoan(aOrganisation)) {
+    if ((!decision || denied) && this->ConsumeLoan(organisation)) {
       return std::nullopt;
     }
+    if (auto refusal =
+          CheckApiKey(this->context, aCall.keyDigest, organisation)) {
+      return refusal;
+    }
     const bool mayWait = now < waitUntil && permit.TryAcquire();
     const bool mustRefuse = denied && !decision->wait &&
-                            this->RemainingGrace(aOrganisation) == Millis(0);
+                            this->RemainingGrace(organisation) == Millis(0);
     if (!mayWait || mustRefuse) {
-      return RefusalOf(aOrganisation, decision);
+      return RefusalOf(organisation, decision);
     }
     this->context.metrics.Count("tanagerseam_retries_total",
                                 { { "reason", "rate_owner" } });
--- a/daemon/rate_service.h
+++ b/daemon/rate_service.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <string>
 
+#include "daemon/call.h"
 #include "daemon/context.h"
 
 namespace tanagerseam {
@@ -32,9 +33,9 @@
   explicit RateService(const DaemonContext& aContext);
 
   // Takes a token, waiting for one during and after an owner outage. Empty if
-  // taken. The wait ends at aDeadline or after kMaxTokenWait.
-  std::optional<Refusal> AcquireToken(const std::string& aOrganisation,
-                                      TimePoint aDeadline);
+  // taken. The wait ends at the call's deadline, after kMaxTokenWait, or once
+  // its key is withdrawn.
+  std::optional<Refusal> AcquireToken(const CallRequest& aCall);
 
   // The owner's side of a token request. Empty if this daemon may not grant
   // now.
--- a/daemon/router.cc
+++ b/daemon/router.cc
@@ -167,7 +167,8 @@
       this->ForwardToPeer(
         this->RandomSeed(), aRequest, aKey, owner.epoch, sink);
     }
-    if (sink.Finished()) {
+    if (sink.Finished() ||
+        this->StopWithdrawnKey(aRequest, RanState::kNo, sink)) {
       return;
     }
     if (!owner.host.empty()) {
@@ -200,6 +201,10 @@
       const OwnerLocation current = FindOwner(this->context, aKey);
       if (failure->timedOut && current.epoch == aEpoch &&
           !current.host.empty()) {
+        // The owner may not know of the withdrawal yet.
+        if (this->StopWithdrawnKey(aRequest, RanState::kUnknown, aSink)) {
+          return true;
+        }
         continue;
       }
       if (failure->sent) {
@@ -239,6 +244,20 @@
   return false;
 }
 
+bool
+Router::StopWithdrawnKey(const CallRequest& aRequest,
+                         RanState aRan,
+                         DeduplicatingSink& aSink)
+{
+  auto refusal =
+    CheckApiKey(this->context, aRequest.keyDigest, aRequest.organisation);
+  if (refusal) {
+    refusal->ran = aRan;
+    aSink.Refuse(*refusal);
+  }
+  return refusal.has_value();
+}
+
 std::string
 Router::RandomSeed()
 {
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -52,6 +52,11 @@
                      const std::string& aKey,
                      int64_t aEpoch,
                      DeduplicatingSink& aSink);
+  // Refuses a request whose API key has been withdrawn since it was accepted;
+  // false if its key is still accepted.
+  bool StopWithdrawnKey(const CallRequest& aRequest,
+                        RanState aRan,
+                        DeduplicatingSink& aSink);
   std::string RandomSeed();
 
   const DaemonContext& context;
