--- a/http/http_server.cc
+++ b/http/http_server.cc
@@ -22,6 +22,7 @@
 // invariant rests on this.
 constexpr size_t kMaxPipelined = 1;
 constexpr int kInternalServerError = 500;
+constexpr int kServiceUnavailable = 503;
 // Chunks handed to RESTinio and not yet written, before Write blocks.
 constexpr size_t kMaxUnwritten = 64;
 constexpr Millis kWriteTimeout(30000);
@@ -295,14 +296,24 @@
     const bool taken = this->pool.Post([this, aRequest, reply] {
       this->RunHandler(ToRequest(aRequest), reply);
     });
-    if (!taken && this->settings.overloaded) {
-      this->settings.overloaded(*reply);
-    } else if (!taken) {
-      reply->Send(503, {}, "");
+    if (!taken) {
+      // RESTinio must not see an answer before this function returns: it would
+      // read the connection's next request twice.
+      restinio::asio_ns::post(this->io,
+                              [this, reply] { this->Refuse(*reply); });
     }
     return restinio::request_accepted();
   }
 
+  void Refuse(RestinioReply& aReply) const
+  {
+    if (this->settings.overloaded) {
+      this->settings.overloaded(aReply);
+    } else {
+      aReply.Send(kServiceUnavailable, {}, "");
+    }
+  }
+
   // The edge that no exception of a handler passes: it would end the process.
   void RunHandler(const HttpRequest& aRequest,
                   const std::shared_ptr<RestinioReply>& aReply)
