The event that a broken stream ended in counts against the program's budget

What callers would see: more tokens than the budget and one turn, if endpoints break streams off within events again and again. Cause: only events that ended were counted, while parts of the next one had gone to the client. GatewayTurnTest.CountsTheEventThatABrokenStreamEndedIn: the 7th turn was still served at a budget for six. Change: the end of a call counts an open event whole.

--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -431,6 +431,10 @@
     this->state.dispatcher.RemoveQueued(this->dispatchId);
   }
   this->state.calls.erase(this->dispatchId);
+  if (this->relay && this->relay->IsWithinEvent()) {
+    // The client has a part of it, whose tokens are not known.
+    this->usedTokens += this->tokensPerEvent;
+  }
   if (this->reservation) {
     this->state.turnBudgets.Settle(*this->reservation, this->usedTokens);
     this->reservation.reset();
--- a/gateway/response_relay.h
+++ b/gateway/response_relay.h
@@ -65,6 +65,8 @@
   const EndpointResponseHead& Head() const { return this->head; }
   // The head of an event stream has been sent to the client.
   bool IsStreaming() const { return this->streaming; }
+  // A part of an event has come, and its end has not.
+  bool IsWithinEvent() const { return !this->parser.BetweenEvents(); }
   // The exchange ended because an event was longer than SseParser allows.
   bool EventTooLong() const { return this->parser.TooLong(); }
 
--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -277,6 +277,30 @@
   }
 }
 
+// Guards against tokens that are handed out and not counted: the part of an
+// event that a broken stream ended in.
+TEST_F(GatewayTurnTest, CountsTheEventThatABrokenStreamEndedIn)
+{
+  constexpr int kBudget = 150;
+  // The limit of 100 tokens of one turn fits in while 50 at most are used, and
+  // an event has 10.
+  constexpr int kTurnsWithinBudget = 6;
+  RawEndpoint engine(this->io, [](const std::string& aRequest) {
+    PresetResponse response;
+    response.bytes = MakeStreamHeadWithoutLength(aRequest) + "id: 1\ndata: on";
+    response.close = true;
+    return response;
+  });
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  for (int turn = 1; turn <= kTurnsWithinBudget + 1; ++turn) {
+    const std::string response = this->SendAndReceive(
+      this->host,
+      this->TurnRequest("t-" + std::to_string(turn), "", "x", kBudget));
+    EXPECT_EQ(StatusOf(response), turn <= kTurnsWithinBudget ? 200 : 402)
+      << turn;
+  }
+}
+
 // Guards against an event without end: it was passed on until the deadline, and
 // the turn was kept without it.
 TEST_F(GatewayTurnTest, BreaksOffAnEventWithoutEnd)
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -73,6 +73,8 @@
   { ResponseFault::kHeadCut, SoakFault::kEndpointFraming },
   { ResponseFault::kNoLength, SoakFault::kEndpointFraming },
   { ResponseFault::kNoLengthReset, SoakFault::kEndpointFraming, true },
+  { ResponseFault::kNoLengthCut, SoakFault::kEndpointFraming, true },
+  { ResponseFault::kEndless, SoakFault::kEndpointFraming },
 };
 
 asio::ip::tcp::endpoint
--- a/tests/soak/soak_response.cc
+++ b/tests/soak/soak_response.cc
@@ -17,6 +17,7 @@
 constexpr Millis kLateDelay(1500);
 constexpr Millis kMinIdleDelay(1);
 constexpr Millis kMaxIdleDelay(30);
+constexpr size_t kEndlessPieceBytes = 8192;
 // Fractions of the duplicates.
 constexpr double kSplitFraction = 0.3;
 constexpr double kWithoutIdFraction = 0.2;
@@ -38,6 +39,8 @@
   { ResponseFault::kHeadCut, "head_cut" },
   { ResponseFault::kNoLength, "no_length" },
   { ResponseFault::kNoLengthReset, "no_length_reset" },
+  { ResponseFault::kNoLengthCut, "no_length_cut" },
+  { ResponseFault::kEndless, "endless" },
 };
 
 template<typename T>
@@ -138,6 +141,33 @@
   return preset;
 }
 
+// Cut at a byte where an event is open, or before the first event.
+PresetResponse
+WithStreamCut(const EndpointResponse& aResponse, std::mt19937_64& aRandom)
+{
+  const std::string text = aResponse.Text();
+  const size_t firstEnd = aResponse.firstPart.size();
+  size_t length = firstEnd;
+  while (length == firstEnd) {
+    length = Draw<size_t>(0, text.size() - 1, aRandom);
+  }
+  PresetResponse preset;
+  preset.bytes =
+    HeadStart(aResponse, aResponse.id) + "\r\n" + text.substr(0, length);
+  preset.close = true;
+  return preset;
+}
+
+PresetResponse
+WithoutEnd(const EndpointResponse& aResponse)
+{
+  PresetResponse preset;
+  preset.bytes = HeadStart(aResponse, aResponse.id) + "\r\n" +
+                 aResponse.firstPart + (aResponse.isStream ? "data: " : "");
+  preset.endless = std::string(kEndlessPieceBytes, 'x');
+  return preset;
+}
+
 } // namespace
 
 std::string_view
@@ -237,6 +267,11 @@
       return WithoutLength(aResponse, false);
     case ResponseFault::kNoLengthReset:
       return WithoutLength(aResponse, true);
+    case ResponseFault::kNoLengthCut:
+      return aResponse.isStream ? WithStreamCut(aResponse, aRandom)
+                                : WithoutLength(aResponse, true);
+    case ResponseFault::kEndless:
+      return WithoutEnd(aResponse);
   }
   return preset;
 }
--- a/tests/soak/soak_response.h
+++ b/tests/soak/soak_response.h
@@ -40,6 +40,11 @@
   kNoLength,
   // The same, but reset in the middle of the body.
   kNoLengthReset,
+  // The same, but closed before the first event or within an event; reset if
+  // the body is no event stream.
+  kNoLengthCut,
+  // A body without a length and without an end; of a stream, an event.
+  kEndless,
 };
 
 std::string_view
--- a/tests/soak/soak_response_test.cc
+++ b/tests/soak/soak_response_test.cc
@@ -85,6 +85,30 @@
   EXPECT_TRUE(part.reset);
 }
 
+TEST_F(SoakResponseTest, StreamWithoutLengthIsCutWhereAnEventIsOpenOrNoneCame)
+{
+  const std::string first = EventText(1, "t-1-one");
+  for (int i = 0; i < 1000; ++i) {
+    const PresetResponse preset =
+      this->Corrupted(kStreamRequest, ResponseFault::kNoLengthCut);
+    const std::string body = BodyOf(preset.bytes);
+    ASSERT_TRUE(preset.close && !preset.reset);
+    ASSERT_EQ(HeaderOf(preset.bytes, "Transfer-Encoding"), "");
+    ASSERT_NE(body, first);
+    ASSERT_NE(body, first + EventText(2, "t-1-two"));
+  }
+  EXPECT_TRUE(this->Corrupted(kRequest, ResponseFault::kNoLengthCut).reset);
+}
+
+TEST_F(SoakResponseTest, EndlessResponseNeverClosesItsEvent)
+{
+  const PresetResponse preset =
+    this->Corrupted(kStreamRequest, ResponseFault::kEndless);
+  EXPECT_FALSE(preset.endless.empty());
+  EXPECT_EQ(preset.endless.find('\n'), std::string::npos);
+  EXPECT_FALSE(preset.close);
+}
+
 class LateBytesTest : public ::testing::Test
 {
 protected:
