--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -65,7 +65,8 @@
   Millis keyFreshnessMargin{ 700 };
   // Tolerated use beyond the organisations' rate caps.
   QuotaSlack quotaSlack;
-  // Memory of all responses that are being received.
+  // Memory of all responses that are being received: gathered bodies, outputs
+  // of turns, and what waits to be sent.
   size_t maxResponseBytes = 16u << 20;
   // Partitions per topic of the record log.
   int logPartitions = 12;
--- a/http/wire_bytes.cc
+++ b/http/wire_bytes.cc
@@ -16,7 +16,6 @@
 constexpr uint64_t kBytesOfSmallestChunk = 6;
 // What libcurl reads at once, and so may have read without parsing it.
 constexpr uint64_t kReadAheadBytes = 64u << 10;
-
 // Calls from one look at the socket to the next while the body grows.
 constexpr unsigned kCallsPerLook = 16;
 
--- a/http/wire_bytes.h
+++ b/http/wire_bytes.h
@@ -26,8 +26,8 @@
 {
 public:
   void Begin(int aSocket);
-  // True if more bytes than chunks of one byte account for have been read since
-  // Begin, aBodyBytes of them the body. False before Begin.
+  // True if more bytes have been read since Begin than a body of aBodyBytes in
+  // chunks of one byte needs. False before Begin.
   bool IsMostlyFraming(uint64_t aBodyBytes);
 
 private:
