--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -29,22 +29,6 @@
   { EventError::kRejected, "rejected" },
 };
 
-std::string
-DetailOf(CURLcode aCode, const Exchange& aExchange)
-{
-  if (aCode == CURLE_OK) {
-    return "connection closed within the response head";
-  }
-  if (aExchange.tooLarge) {
-    return "the response is larger than allowed";
-  }
-  if (aExchange.framing == BodyFraming::kInvalid) {
-    return "the response has no valid Content-Length";
-  }
-  return aExchange.errorText[0] != '\0' ? aExchange.errorText
-                                        : curl_easy_strerror(aCode);
-}
-
 } // namespace
 
 std::string_view
@@ -170,9 +154,10 @@
     outcome.status = exchange->headersTold ? exchange->status : 0;
     outcome.sent = exchange->timesSent > 0;
     outcome.connectionUse = exchange->connectionUse;
-    outcome.body = { exchange->framing, exchange->answerBytes };
+    outcome.body = { exchange->framing, exchange->limits.BodyBytes() };
     if (outcome.error != EventError::kNone) {
-      outcome.detail = DetailOf(aCode, *exchange);
+      outcome.detail = DetailOfTransfer(
+        aCode, exchange->limits, exchange->framing, exchange->errorText);
     }
     this->Recycle(*exchange);
     if (!exchange->cancelled && exchange->handlers.onDone) {
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -145,9 +145,7 @@
   if (exchange->cancelled) {
     return 0;
   }
-  exchange->headBytes += aLength;
-  if (exchange->headBytes > kMaxHeadBytes) {
-    exchange->tooLarge = true;
+  if (!exchange->limits.TakeHeadLine(aLength)) {
     return 0;
   }
   if (exchange->headersTold) {
@@ -175,7 +173,7 @@
     return 0;
   }
   if (exchange->framing == BodyFraming::kChunks) {
-    exchange->chunkMeter.Begin(exchange->socket);
+    exchange->limits.BeginChunks(exchange->socket);
   }
   exchange->headersTold = true;
   const bool accepted =
@@ -196,9 +194,7 @@
     // The bytes behind a change of protocol are no body.
     return 0;
   }
-  exchange->answerBytes += aLength;
-  if (exchange->answerBytes > exchange->call.maxAnswerBytes) {
-    exchange->tooLarge = true;
+  if (!exchange->limits.TakeBody(aLength)) {
     return 0;
   }
   const bool accepted =
@@ -213,11 +209,7 @@
 int
 OnProgress(void* aExchange, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
 {
-  auto* exchange = static_cast<Exchange*>(aExchange);
-  exchange->tooLarge =
-    exchange->tooLarge ||
-    exchange->chunkMeter.IsMostlyFraming(exchange->answerBytes);
-  return exchange->tooLarge ? 1 : 0;
+  return static_cast<Exchange*>(aExchange)->limits.CheckFraming() ? 0 : 1;
 }
 
 } // namespace
@@ -227,6 +219,7 @@
 {
   const EventCall& call = aExchange.call;
   CURL* easy = aExchange.easy;
+  aExchange.limits.SetMaxBodyBytes(call.maxAnswerBytes);
   bool hasAccept = false;
   bool hasType = false;
   for (const auto& header : call.headers) {
@@ -302,7 +295,7 @@
   if (aExchange.foreign) {
     return EventError::kForeignResponse;
   }
-  if (aExchange.tooLarge) {
+  if (aExchange.limits.Exceeded()) {
     return EventError::kTooLarge;
   }
   if (aExchange.rejected) {
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -18,7 +18,7 @@
 
 #include "http/curl_sockets.h"
 #include "http/event_client.h"
-#include "http/wire_bytes.h"
+#include "http/response_limits.h"
 
 namespace tanagerseam {
 
@@ -33,12 +33,9 @@
   int status = 0;
   HttpHeaders answerHeaders;
   BodyFraming framing = BodyFraming::kUnknown;
-  size_t answerBytes = 0;
-  // Of all header lines: interim heads, the final head and trailers.
-  size_t headBytes = 0;
+  ResponseLimits limits;
   // The connection that carries the request.
   curl_socket_t socket = CURL_SOCKET_BAD;
-  ChunkMeter chunkMeter;
   int timesSent = 0;
   CurlSockets* sockets = nullptr;
   ConnectionUse connectionUse;
@@ -53,7 +50,6 @@
   // Its handlers are not called any more.
   bool cancelled = false;
   bool foreign = false;
-  bool tooLarge = false;
   bool rejected = false;
   bool headersTold = false;
   char errorText[CURL_ERROR_SIZE] = {};
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -15,7 +15,7 @@
 #include "http/body_framing.h"
 #include "http/byte_budget.h"
 #include "http/idle_connection.h"
-#include "http/wire_bytes.h"
+#include "http/response_limits.h"
 #include "kernel/log.h"
 
 namespace tanagerseam {
@@ -68,15 +68,11 @@
   bool heldBack = false;
   HttpAnswer answer;
   GatheredBody body;
-  // Of all header lines, and of the body.
-  size_t headBytes = 0;
-  size_t bodyBytes = 0;
+  ResponseLimits limits;
   // The connection that carries the request.
   curl_socket_t socket = CURL_SOCKET_BAD;
-  ChunkMeter chunkMeter;
-  bool invalidLength = false;
+  BodyFraming framing = BodyFraming::kUnknown;
   bool cancelled = false;
-  bool tooLarge = false;
   bool idle = false;
   bool headersTold = false;
   // The head of the final response was read to its end.
@@ -90,13 +86,11 @@
   auto* exchange = static_cast<BlockingExchange*>(aExchange);
   const size_t bytes = aSize * aCount;
   exchange->lastData = Now();
-  exchange->bodyBytes += bytes;
   if (!exchange->wholeHead) {
     // The bytes behind a change of protocol are no body.
     return 0;
   }
-  if (exchange->bodyBytes > exchange->call->maxAnswerBytes) {
-    exchange->tooLarge = true;
+  if (!exchange->limits.TakeBody(bytes)) {
     return 0;
   }
   long status = 0;
@@ -114,8 +108,11 @@
       !exchange->call->onData(std::string_view(aData, bytes));
     return exchange->cancelled ? 0 : bytes;
   }
-  exchange->tooLarge = !exchange->body.Append(std::string_view(aData, bytes));
-  return exchange->tooLarge ? 0 : bytes;
+  if (!exchange->body.Append(std::string_view(aData, bytes))) {
+    exchange->limits.Exceed();
+    return 0;
+  }
+  return bytes;
 }
 
 std::string
@@ -262,11 +259,10 @@
   if (!aExchange.wholeHead) {
     return;
   }
-  const BodyFraming framing =
+  aExchange.framing =
     FramingOf(aExchange.call->method, int(status), aExchange.answer.headers);
-  aExchange.invalidLength = framing == BodyFraming::kInvalid;
-  if (framing == BodyFraming::kChunks) {
-    aExchange.chunkMeter.Begin(aExchange.socket);
+  if (aExchange.framing == BodyFraming::kChunks) {
+    aExchange.limits.BeginChunks(aExchange.socket);
   }
 }
 
@@ -275,9 +271,7 @@
 {
   auto* exchange = static_cast<BlockingExchange*>(aExchange);
   const std::string line(aData, aSize * aCount);
-  exchange->headBytes += line.size();
-  if (exchange->headBytes > kMaxHeadBytes) {
-    exchange->tooLarge = true;
+  if (!exchange->limits.TakeHeadLine(line.size())) {
     return 0;
   }
   if (!exchange->wholeHead) {
@@ -288,7 +282,8 @@
     exchange->answer.headers.emplace_back(line.substr(0, colon),
                                           Trimmed(line.substr(colon + 1)));
   }
-  return exchange->invalidLength ? 0 : aSize * aCount;
+  const bool invalid = exchange->framing == BodyFraming::kInvalid;
+  return invalid ? 0 : aSize * aCount;
 }
 
 int
@@ -304,29 +299,18 @@
     exchange->cancelled = true;
     return 1;
   }
-  exchange->tooLarge =
-    exchange->tooLarge ||
-    exchange->chunkMeter.IsMostlyFraming(exchange->bodyBytes);
-  return exchange->tooLarge ? 1 : 0;
+  return exchange->limits.CheckFraming() ? 0 : 1;
 }
 
 std::string
 DetailOf(CURLcode aCode, const BlockingExchange& aExchange)
 {
-  if (aCode == CURLE_OK) {
-    // libcurl ends a response that is closed within its head as a success.
-    return "the response has no whole final head";
-  }
-  if (aExchange.tooLarge) {
-    return "the response is larger than allowed";
-  }
-  if (aExchange.invalidLength) {
-    return "the response has no valid Content-Length";
-  }
-  if (aExchange.timesSent > 1) {
+  const bool staleConnection = aExchange.timesSent > 1 && aCode != CURLE_OK &&
+                               !aExchange.limits.Exceeded();
+  if (staleConnection) {
     return "the kept connection ended before a response";
   }
-  return curl_easy_strerror(aCode);
+  return DetailOfTransfer(aCode, aExchange.limits, aExchange.framing, "");
 }
 
 TransportFailure
@@ -477,6 +461,7 @@
   exchange.call = &aCall;
   exchange.handle = handle.get();
   exchange.easy = easy;
+  exchange.limits.SetMaxBodyBytes(aCall.maxAnswerBytes);
   SetOptions(easy, aCall, exchange);
   curl_slist* headers = BuildHeaders(aCall);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
--- a/http/wire_bytes.cc
+++ b/http/response_limits.cc
@@ -1,4 +1,4 @@
-#include "http/wire_bytes.h"
+#include "http/response_limits.h"
 
 // Not <netinet/tcp.h>: its tcp_info lacks the counts of bytes.
 #include <linux/tcp.h>
@@ -68,4 +68,47 @@
                                           aBodyBytes * kBytesOfSmallestChunk;
 }
 
+bool
+ResponseLimits::TakeHeadLine(size_t aBytes)
+{
+  this->headBytes += aBytes;
+  this->exceeded = this->exceeded || this->headBytes > kMaxHeadBytes;
+  return !this->exceeded;
+}
+
+bool
+ResponseLimits::TakeBody(size_t aBytes)
+{
+  this->bodyBytes += aBytes;
+  this->exceeded = this->exceeded || this->bodyBytes > this->maxBodyBytes;
+  return !this->exceeded;
+}
+
+bool
+ResponseLimits::CheckFraming()
+{
+  this->exceeded =
+    this->exceeded || this->chunkMeter.IsMostlyFraming(this->bodyBytes);
+  return !this->exceeded;
+}
+
+std::string
+DetailOfTransfer(CURLcode aCode,
+                 const ResponseLimits& aLimits,
+                 BodyFraming aFraming,
+                 const char* aErrorText)
+{
+  if (aCode == CURLE_OK) {
+    // libcurl ends a response that is closed within its head as a success.
+    return "connection closed within the response head";
+  }
+  if (aLimits.Exceeded()) {
+    return "the response is larger than allowed";
+  }
+  if (aFraming == BodyFraming::kInvalid) {
+    return "the response has no valid Content-Length";
+  }
+  return aErrorText[0] != '\0' ? aErrorText : curl_easy_strerror(aCode);
+}
+
 } // namespace tanagerseam
