--- a/call/call.h
+++ b/call/call.h
@@ -13,6 +13,7 @@
 #define TANAGERSEAM_CALL_CALL_H_
 
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -65,6 +66,9 @@
   std::string affinityKey;
   // Another host of the fleet received the call and forwarded it to this one.
   bool forwarded = false;
+  // Endpoints that must not get the call: the host that forwarded it knows that
+  // they are about to shut down.
+  std::set<std::string> excludedEndpoints;
 };
 
 // Calls at an endpoint, as it reports them.
@@ -83,7 +87,12 @@
   // The endpoint states that it did not execute the call.
   bool notExecuted = false;
   bool isEventStream = false;
-  // The endpoint sent "Connection: close": it is about to shut down.
+  // The endpoint is about to shut down and must get no more calls.
+  bool leaving = false;
+  // In the response of a peer: id of the endpoint that is about to shut down.
+  // Empty if there is none.
+  std::string leavingEndpoint;
+  // The endpoint closes the connection, which some do after any response.
   bool connectionClose = false;
   std::optional<EndpointLoad> load;
 };
@@ -106,6 +115,10 @@
   virtual EventCall BuildForwardRequest(const ServiceCall& aCall,
                                         const std::string& aAddress,
                                         Millis aTimeout) const = 0;
+  // Tells the host that forwarded a call that this endpoint is about to shut
+  // down, in the headers of the response to it.
+  virtual void AddLeavingEndpoint(HttpHeaders& aHeaders,
+                                  const std::string& aEndpoint) const = 0;
   virtual EndpointResponseHead ParseResponseHead(
     int aStatus,
     const HttpHeaders& aHeaders) const = 0;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -10,6 +10,7 @@
 //   EndpointTable endpoints;
 //   endpoints.Put(entry, now);
 //   endpoints.Remove("i-17", now);
+//   endpoints.MarkLeaving({ "i-18", startedAt, WallMillis() }, now);
 //   for (const EndpointEntry* endpoint : endpoints.Usable("drafting")) { ... }
 //
 // A Catalog is immutable: a new configuration version is a new Catalog. A route
@@ -22,6 +23,11 @@
 // kMinMassExpiryEntries, are removed within kMassExpiryWindow without having
 // drained, this is taken for running endpoints that could not refresh their
 // entries. The grace then starts when the first of them registers again.
+//
+// An endpoint also announces its shutdown in its responses. From then on it is
+// not usable, whatever the registry says of this incarnation: its entry may be
+// older than the announcement, or never say that it drains. Only an incarnation
+// that started after the announcement is usable again.
 #ifndef TANAGERSEAM_CATALOG_CATALOG_H_
 #define TANAGERSEAM_CATALOG_CATALOG_H_
 
@@ -170,6 +176,18 @@
   // Number of calls that it runs concurrently.
   int slots = 1;
   bool draining = false;
+  // Start of this incarnation, in milliseconds since the epoch; 0 if unknown.
+  int64_t startedAtMillis = 0;
+};
+
+// An endpoint's announcement that it is about to shut down.
+struct LeavingEndpoint
+{
+  std::string id;
+  // Start of the incarnation that made it, as far as known; see EndpointEntry.
+  int64_t startedAtMillis = 0;
+  // When it was received, in milliseconds since the epoch.
+  int64_t announcedAtMillis = 0;
 };
 
 class EndpointTable
@@ -185,6 +203,11 @@
   static constexpr Millis kMassExpiryWindow{ 3000 };
   // Fewer removals are no mass expiry, whatever share of the entries they are.
   static constexpr size_t kMinMassExpiryEntries = 3;
+  // Bound on the difference of the clocks of two machines.
+  static constexpr Millis kClockTolerance{ 1000 };
+  // An announcement is forgotten this long after it was last heard, if the
+  // endpoint has no entry.
+  static constexpr Millis kLeavingMemory{ 600000 };
   // A mass expiry ends after this time if no endpoint registers again.
   static constexpr Millis kMaxMassExpiryTime{ 15000 };
 
@@ -193,13 +216,18 @@
   // Call these when the registry stops responding and when it responds again.
   void OnRegistryLost();
   void OnRegistryRecovered(TimePoint aNow);
+  // Records an announcement, from a response or from another host. True if an
+  // endpoint that was usable is no longer.
+  bool MarkLeaving(const LeavingEndpoint& aAnnouncement, TimePoint aNow);
+  // The announcements of endpoints that have an entry.
+  std::vector<LeavingEndpoint> Leaving() const;
   // Erases removed entries whose grace or kMassExpiryWindow has passed and
   // returns their ids.
   std::vector<std::string> PurgeRemoved(TimePoint aNow);
   // The endpoints of a service that accept new calls.
   std::vector<const EndpointEntry*> Usable(const std::string& aService) const;
-  // Also finds entries that are not usable: draining ones, and removed ones
-  // until they are purged.
+  // Also finds entries that are not usable: draining and leaving ones, and
+  // removed ones until they are purged.
   const EndpointEntry* Find(const std::string& aId) const;
   bool IsUsable(const std::string& aId) const;
 
@@ -212,14 +240,19 @@
     // The removal has taken effect; otherwise the entry is still usable.
     bool removalConfirmed = false;
     TimePoint removedAt{};
+  };
 
-    bool IsUsable() const
-    {
-      return !this->endpoint.draining &&
-             !(this->removed && this->removalConfirmed);
-    }
+  struct Announcement
+  {
+    LeavingEndpoint leaving;
+    TimePoint heardAt{};
   };
 
+  // True if the entry is of an incarnation that started after the announcement.
+  static bool StartedAfter(const EndpointEntry& aEndpoint,
+                           const LeavingEndpoint& aAnnouncement);
+  bool IsUsable(const Entry& aEntry) const;
+  void ForgetAnnouncements(TimePoint aNow);
   // False during a registry outage, a mass expiry and the grace after either.
   bool AcceptsRemovals(TimePoint aNow) const;
   // On a mass expiry, revokes the recent removals.
@@ -227,6 +260,8 @@
 
   Millis recoveryGrace;
   std::map<std::string, Entry> entries;
+  // By endpoint id.
+  std::map<std::string, Announcement> announcements;
   bool registryLost = false;
   // Last removal of a mass expiry from which no endpoint has registered again;
   // unset otherwise.
--- a/catalog/endpoint_table.cc
+++ b/catalog/endpoint_table.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "catalog/catalog.h"
 
 namespace tanagerseam {
@@ -22,6 +24,72 @@
   }
   entry.endpoint = std::move(aEndpoint);
   entry.removed = false;
+  auto announcement = this->announcements.find(entry.endpoint.id);
+  if (announcement != this->announcements.end() &&
+      StartedAfter(entry.endpoint, announcement->second.leaving)) {
+    this->announcements.erase(announcement);
+  }
+}
+
+bool
+EndpointTable::StartedAfter(const EndpointEntry& aEndpoint,
+                            const LeavingEndpoint& aAnnouncement)
+{
+  // A new incarnation may itself have announced its shutdown before its entry
+  // arrived here.
+  return aEndpoint.startedAtMillis > aAnnouncement.startedAtMillis &&
+         aEndpoint.startedAtMillis >
+           aAnnouncement.announcedAtMillis - kClockTolerance.count();
+}
+
+bool
+EndpointTable::MarkLeaving(const LeavingEndpoint& aAnnouncement, TimePoint aNow)
+{
+  auto entry = this->entries.find(aAnnouncement.id);
+  const bool known = entry != this->entries.end();
+  if (known && StartedAfter(entry->second.endpoint, aAnnouncement)) {
+    return false;
+  }
+  const bool wasUsable = known && this->IsUsable(entry->second);
+  Announcement& newest = this->announcements[aAnnouncement.id];
+  newest.leaving.id = aAnnouncement.id;
+  newest.leaving.startedAtMillis =
+    std::max(newest.leaving.startedAtMillis, aAnnouncement.startedAtMillis);
+  newest.leaving.announcedAtMillis =
+    std::max(newest.leaving.announcedAtMillis, aAnnouncement.announcedAtMillis);
+  newest.heardAt = aNow;
+  return wasUsable;
+}
+
+std::vector<LeavingEndpoint>
+EndpointTable::Leaving() const
+{
+  std::vector<LeavingEndpoint> leaving;
+  for (const auto& entry : this->announcements) {
+    if (this->entries.count(entry.first) > 0) {
+      leaving.push_back(entry.second.leaving);
+    }
+  }
+  return leaving;
+}
+
+void
+EndpointTable::ForgetAnnouncements(TimePoint aNow)
+{
+  for (auto it = this->announcements.begin();
+       it != this->announcements.end();) {
+    const bool old = aNow - it->second.heardAt > kLeavingMemory;
+    const bool forget = old && this->entries.count(it->first) == 0;
+    it = forget ? this->announcements.erase(it) : std::next(it);
+  }
+}
+
+bool
+EndpointTable::IsUsable(const Entry& aEntry) const
+{
+  const bool gone = aEntry.removed && aEntry.removalConfirmed;
+  return !aEntry.endpoint.draining && !gone &&
+         this->announcements.count(aEntry.endpoint.id) == 0;
 }
 
 void
@@ -93,6 +161,7 @@
     }
     it = purge ? this->entries.erase(it) : std::next(it);
   }
+  this->ForgetAnnouncements(aNow);
   return purged;
 }
 
@@ -102,7 +171,7 @@
   std::vector<const EndpointEntry*> usable;
   for (const auto& entry : this->entries) {
     const EndpointEntry& endpoint = entry.second.endpoint;
-    if (endpoint.service == aService && entry.second.IsUsable()) {
+    if (endpoint.service == aService && this->IsUsable(entry.second)) {
       usable.push_back(&endpoint);
     }
   }
@@ -120,7 +189,7 @@
 EndpointTable::IsUsable(const std::string& aId) const
 {
   auto found = this->entries.find(aId);
-  return found != this->entries.end() && found->second.IsUsable();
+  return found != this->entries.end() && this->IsUsable(found->second);
 }
 
 } // namespace tanagerseam
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -1,5 +1,6 @@
 // Configuration lookups (routes by longest prefix, organisations by key,
-// services by weight) and endpoints that register, drain, leave and expire.
+// services by weight) and endpoints that register, drain, leave and expire, or
+// announce their shutdown.
 #include <gtest/gtest.h>
 
 #include "catalog/catalog.h"
@@ -180,5 +181,95 @@
   EXPECT_EQ(this->table.PurgeRemoved(At(17000)).size(), 3u);
 }
 
+class LeavingEndpointTest : public EndpointTableTest
+{
+protected:
+  static constexpr int64_t kStarted = 1700000000000;
+  static constexpr int64_t kAnnounced = kStarted + 60000;
+
+  static EndpointEntry Started(int64_t aStartedAtMillis)
+  {
+    EndpointEntry entry = Entry("i-1");
+    entry.startedAtMillis = aStartedAtMillis;
+    return entry;
+  }
+
+  void SetUp() override
+  {
+    this->table.Put(Started(kStarted), At(0));
+    EXPECT_TRUE(
+      this->table.MarkLeaving({ "i-1", kStarted, kAnnounced }, At(0)));
+  }
+};
+
+TEST_F(LeavingEndpointTest, IsNotUsableWhateverTheRegistrySays)
+{
+  EXPECT_EQ(this->Usable(), 0u);
+  EXPECT_FALSE(this->table.IsUsable("i-1"));
+  {
+    SCOPED_TRACE("a second announcement changes nothing");
+    EXPECT_FALSE(
+      this->table.MarkLeaving({ "i-1", kStarted, kAnnounced + 1 }, At(1)));
+  }
+  {
+    SCOPED_TRACE("an entry that still says ready");
+    this->table.Put(Started(kStarted), At(1000));
+    EXPECT_EQ(this->Usable(), 0u);
+  }
+  {
+    SCOPED_TRACE("an older entry");
+    this->table.Put(Started(kStarted - 5000), At(1000));
+    EXPECT_EQ(this->Usable(), 0u);
+  }
+  {
+    SCOPED_TRACE("an entry that lapses and returns");
+    this->table.Remove("i-1", At(2000));
+    this->table.PurgeRemoved(At(20000));
+    EXPECT_EQ(this->table.Find("i-1"), nullptr);
+    EXPECT_TRUE(this->table.Leaving().empty());
+    this->table.Put(Started(kStarted), At(21000));
+    EXPECT_EQ(this->Usable(), 0u);
+    EXPECT_EQ(this->table.Leaving().size(), 1u);
+  }
+}
+
+TEST_F(LeavingEndpointTest, OnlyALaterIncarnationIsUsable)
+{
+  {
+    SCOPED_TRACE("one that started before the announcement may have made it");
+    this->table.Put(Started(kAnnounced - 5000), At(1000));
+    EXPECT_EQ(this->Usable(), 0u);
+  }
+  {
+    SCOPED_TRACE("one that started after it");
+    this->table.Put(Started(kAnnounced + 3000), At(2000));
+    EXPECT_EQ(this->Usable(), 1u);
+  }
+  {
+    SCOPED_TRACE("a host that has not seen it yet repeats the announcement");
+    EXPECT_FALSE(
+      this->table.MarkLeaving({ "i-1", kStarted, kAnnounced }, At(3000)));
+    EXPECT_EQ(this->Usable(), 1u);
+  }
+}
+
+TEST_F(LeavingEndpointTest, AnnouncementIsHeardBeforeTheEntry)
+{
+  this->table.MarkLeaving({ "i-2", 0, kAnnounced }, At(0));
+  EndpointEntry entry = Entry("i-2");
+  entry.startedAtMillis = kStarted;
+  this->table.Put(entry, At(1000));
+  EXPECT_FALSE(this->table.IsUsable("i-2"));
+}
+
+TEST_F(LeavingEndpointTest, AnnouncementIsForgottenLongAfterTheEntry)
+{
+  this->table.Remove("i-1", At(1000));
+  this->table.PurgeRemoved(At(20000));
+  this->table.PurgeRemoved(At(EndpointTable::kLeavingMemory.count() + 20000));
+  this->table.Put(Started(kStarted), At(700000));
+  EXPECT_EQ(this->Usable(), 1u);
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -222,7 +222,7 @@
       return;
     }
     newestStart = entry->startedAtMillis;
-    this->gateway.PutEndpoint(std::move(entry->endpoint));
+    this->gateway.PutEndpoint(std::move(*entry));
   }
 
   KeyedFeedHandlers ServerHandlers()
--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -365,6 +365,21 @@
   return placements;
 }
 
+std::vector<uint64_t>
+Dispatcher::DropUnservable(TimePoint aNow)
+{
+  std::vector<uint64_t> dropped;
+  for (const QueuedCall& queued : this->queue) {
+    if (this->Candidates(queued.call, aNow).empty()) {
+      dropped.push_back(queued.call.id);
+    }
+  }
+  for (const uint64_t id : dropped) {
+    this->RemoveQueued(id);
+  }
+  return dropped;
+}
+
 void
 Dispatcher::RemoveQueued(uint64_t aCallId)
 {
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -220,6 +220,8 @@
   DispatchDecision Submit(const DispatchCall& aCall, TimePoint aNow);
   // Removes from the queue and returns the calls that can be sent now.
   std::vector<Placement> PlaceQueued(TimePoint aNow);
+  // Removes from the queue and returns the calls that no endpoint may get.
+  std::vector<uint64_t> DropUnservable(TimePoint aNow);
   void RemoveQueued(uint64_t aCallId);
   // Ignored for a call that is not in flight.
   void OnAttemptEnded(uint64_t aCallId,
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -1,5 +1,5 @@
-// Messages between the hosts of the fleet: periodic load reports, and
-// reservations of tokens from a program's budget.
+// Messages between the hosts of the fleet: periodic load reports, reservations
+// of tokens from a program's budget, and calls on an organisation's quota.
 //
 //   FleetLink link(io, { "host-1", startTime, "10.0.0.1", 7780 });
 //   link.SetHandlers(handlers);
@@ -7,6 +7,7 @@
 //   link.SendReport(report);
 //   uint64_t reservation = link.Reserve("host-2", request, wait, done);
 //   link.Settle("host-2", reservation, 144);
+//   link.AcquireQuota("host-2", OrganisationHash("ski-club"), wait, done);
 //
 // Each message is a FlatBuffer in one UDP datagram, so there is no connection
 // that could stall. A lost report is superseded by the next one. A request is
@@ -16,10 +17,11 @@
 //
 // A report is sent to at most kFanOut peers in round-robin order, so its cost
 // does not grow with the fleet. A peer gets a host's report every
-// (peers / kFanOut) reports.
+// ReportPeriod.
 #ifndef TANAGERSEAM_FLEET_FLEET_H_
 #define TANAGERSEAM_FLEET_FLEET_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +30,7 @@
 
 #include <restinio/asio_include.hpp>
 
+#include "catalog/catalog.h"
 #include "dispatch/dispatch.h"
 #include "kernel/kernel.h"
 #include "quota/quota.h"
@@ -58,6 +61,8 @@
   bool ready = false;
   // Where the host accepts calls, as IP:PORT.
   std::string callAddress;
+  // At most kMaxReportedLeaving are sent, the newest ones.
+  std::vector<LeavingEndpoint> leavingEndpoints;
 };
 
 // Asks for a reservation of tokens for one turn of a program.
@@ -93,6 +98,15 @@
   bool beginsProgram = false;
 };
 
+// What the owner of an organisation's quota decides about a call.
+enum class QuotaAnswer
+{
+  kGranted,
+  kRefused,
+  // No answer in time, or the owner does not know the organisation.
+  kNoAnswer,
+};
+
 // Handlers for the messages of peers.
 struct FleetHandlers
 {
@@ -105,6 +119,10 @@
   // Ends a reservation with status kReserved; aUsed tokens were used. If the
   // peer has restarted, all reserved tokens count as used.
   std::function<void(const TokenRequest&, int64_t aUsed)> onSettle;
+  // Decides about a call of the named host.
+  std::function<QuotaAnswer(const std::string& aHost,
+                            uint64_t aOrganisationHash)>
+    onAcquireQuota;
 };
 
 struct FleetLinkSettings
@@ -120,15 +138,25 @@
 class FleetLink
 {
 public:
+  // Hosts report their state every kReportInterval.
+  static constexpr Millis kReportInterval{ 100 };
   // Most peers that get one report.
   static constexpr size_t kFanOut = 16;
   // Larger reports leave out the organisations with the least demand.
   static constexpr size_t kMaxReportedOrganisations = 64;
+  static constexpr size_t kMaxReportedLeaving = 64;
   // A request without a response is retransmitted after this time.
   static constexpr Millis kRetransmitInterval{ 12 };
   // Transmissions of a settlement until it is given up.
   static constexpr int kMaxSettleAttempts = 8;
 
+  // Time between two reports of a host to the same one of its peers.
+  static constexpr Millis ReportPeriod(size_t aPeers)
+  {
+    const size_t rounds = std::max<size_t>(1, (aPeers + kFanOut - 1) / kFanOut);
+    return kReportInterval * static_cast<int64_t>(rounds);
+  }
+
   FleetLink(restinio::asio_ns::io_context& aIo, FleetLinkSettings aSettings);
   ~FleetLink();
   FleetLink(const FleetLink&) = delete;
@@ -147,6 +175,12 @@
                    std::function<void(ReserveResponse)> aDone);
   // Has no effect for a reservation that never reached aHost.
   void Settle(const std::string& aHost, uint64_t aReservation, int64_t aUsed);
+  // Asks aHost, as the owner of the organisation's quota, for one call. The
+  // answer is kNoAnswer after aWait, and for a host that is not a peer.
+  void AcquireQuota(const std::string& aHost,
+                    uint64_t aOrganisationHash,
+                    Millis aWait,
+                    std::function<void(QuotaAnswer)> aDone);
   bool IsPeer(const std::string& aHost) const;
 
 private:
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -5,6 +5,7 @@
 
 #include "fleet/fleet.h"
 #include "fleet/fleet_wire_generated.h"
+#include "fleet/report_wire.h"
 
 namespace tanagerseam {
 
@@ -16,61 +17,10 @@
 // host has sent nothing for this long; see IsNewIncarnation.
 constexpr Millis kIncarnationTimeout(700);
 constexpr size_t kMaxDatagram = 60u << 10;
-// Requests remembered for each peer, to answer retransmissions.
+// Requests remembered for each peer, to answer retransmissions. Those that are
+// settled are remembered for kSettledMemory only.
 constexpr size_t kMaxRememberedRequests = 2048;
-
-fleetwire::LoadReportT
-ToWire(const HostReport& aReport)
-{
-  fleetwire::LoadReportT table;
-  table.sequence = aReport.sequence;
-  table.store_lost = aReport.storeUnavailable;
-  table.ready = aReport.ready;
-  table.call_address = aReport.callAddress;
-  for (const auto& entry : aReport.endpointLoads) {
-    table.endpoints.emplace_back(entry.first,
-                                 static_cast<uint16_t>(entry.second));
-  }
-  for (const auto& entry : aReport.quotaReports) {
-    const QuotaReport& quotaReport = entry.second;
-    table.organisations.emplace_back(entry.first,
-                                     quotaReport.admittedCalls,
-                                     quotaReport.admittedPrograms,
-                                     quotaReport.reservedCalls,
-                                     static_cast<float>(quotaReport.demand));
-  }
-  if (table.organisations.size() > FleetLink::kMaxReportedOrganisations) {
-    std::sort(table.organisations.begin(),
-              table.organisations.end(),
-              [](const auto& aLeft, const auto& aRight) {
-                return aLeft.demand() > aRight.demand();
-              });
-    table.organisations.resize(FleetLink::kMaxReportedOrganisations);
-  }
-  return table;
-}
-
-HostReport
-FromWire(const fleetwire::DatagramT& aDatagram,
-         const fleetwire::LoadReportT& aTable)
-{
-  HostReport report;
-  report.host = aDatagram.host;
-  report.startTime = aDatagram.started;
-  report.sequence = aTable.sequence;
-  report.storeUnavailable = aTable.store_lost;
-  report.ready = aTable.ready;
-  report.callAddress = aTable.call_address;
-  for (const auto& entry : aTable.endpoints) {
-    report.endpointLoads[entry.endpoint()] = entry.calls();
-  }
-  for (const auto& entry : aTable.organisations) {
-    report.quotaReports[entry.organisation()] = {
-      entry.demand(), entry.admitted(), entry.begun(), entry.promised()
-    };
-  }
-  return report;
-}
+constexpr Millis kSettledMemory(5000);
 
 ReserveStatus
 StatusFromWire(uint8_t aStatus)
@@ -104,13 +54,16 @@
     asio::steady_timer timer;
     std::function<void(ReserveResponse)> done;
   };
-  // A reservation that a peer has requested.
+  // A reservation or a call on a quota that a peer has requested.
   struct PeerRequest
   {
+    // Empty for a call on a quota.
     TokenRequest request;
     // Empty until onReserve has responded.
     std::optional<ReserveResponse> response;
+    // The reservation has ended, or there is none.
     bool settled = false;
+    TimePoint receivedAt{};
   };
   // The remembered requests of one incarnation of a peer.
   struct PeerRequests
@@ -157,6 +110,25 @@
     this->socket.send_to(asio::buffer(aData), aPeer, 0, error);
   }
 
+  // Sends a request whose response is of use for aWait.
+  template<typename Table>
+  void Request(const std::string& aHost,
+               const Table& aTable,
+               Millis aWait,
+               std::function<void(ReserveResponse)> aDone)
+  {
+    auto pending = std::make_unique<PendingRequest>(this->io);
+    pending->host = aHost;
+    pending->datagram = this->Encode(aTable);
+    pending->deadline = BootNow() + aWait;
+    pending->attemptsLeft =
+      static_cast<int>(aWait.count() / kRetransmitInterval.count()) + 1;
+    pending->done = std::move(aDone);
+    const uint64_t id = aTable.request;
+    this->pendingRequests[id] = std::move(pending);
+    asio::post(this->io, [this, id] { this->Transmit(id); });
+  }
+
   // Sends a request, and retransmits it until its response arrives, its
   // deadline passes or its attempts are used up.
   void Transmit(uint64_t aId)
@@ -239,6 +211,9 @@
                        { StatusFromWire(response->verdict), response->begins });
         break;
       }
+      case fleetwire::Body::AcquireQuota:
+        this->HandleAcquireQuota(datagram);
+        break;
       case fleetwire::Body::SettleTokens:
         this->HandleSettle(datagram);
         break;
@@ -267,7 +242,7 @@
   // order.
   void HandleReport(const fleetwire::DatagramT& aDatagram)
   {
-    const auto report = FromWire(aDatagram, *aDatagram.body.AsLoadReport());
+    const auto report = ReportFromWire(aDatagram);
     const TimePoint now = BootNow();
     LastReport& last = this->lastReports[report.host];
     const bool newIncarnation =
@@ -328,13 +303,21 @@
       return false;
     }
     aRequests.order.push_back(aId);
-    if (aRequests.order.size() > kMaxRememberedRequests) {
+    while (MayForgetFirst(aRequests)) {
       aRequests.byId.erase(aRequests.order.front());
       aRequests.order.pop_front();
     }
     return true;
   }
 
+  static bool MayForgetFirst(const PeerRequests& aRequests)
+  {
+    const PeerRequest& first = aRequests.byId.at(aRequests.order.front());
+    const bool old = BootNow() - first.receivedAt > kSettledMemory;
+    return aRequests.order.size() > kMaxRememberedRequests ||
+           (first.settled && old);
+  }
+
   void SendReserveResponse(const asio::ip::udp::endpoint& aTo,
                            uint64_t aId,
                            ReserveResponse aResponse)
@@ -357,7 +340,9 @@
                                 table.continues,
                                 table.budget,
                                 table.most };
-    if (!Remember(requests, id, { request, std::nullopt, false })) {
+    const bool settled = false;
+    if (!Remember(
+          requests, id, { request, std::nullopt, settled, BootNow() })) {
       if (const auto response = requests.byId[id].response) {
         this->SendReserveResponse(from, id, *response);
       }
@@ -372,6 +357,48 @@
                              });
   }
 
+  static ReserveStatus StatusOf(QuotaAnswer aAnswer)
+  {
+    switch (aAnswer) {
+      case QuotaAnswer::kGranted:
+        return ReserveStatus::kReserved;
+      case QuotaAnswer::kRefused:
+        return ReserveStatus::kOverQuota;
+      case QuotaAnswer::kNoAnswer:
+        break;
+    }
+    return ReserveStatus::kUnavailable;
+  }
+
+  static QuotaAnswer AnswerOf(ReserveStatus aStatus)
+  {
+    switch (aStatus) {
+      case ReserveStatus::kReserved:
+        return QuotaAnswer::kGranted;
+      case ReserveStatus::kOverQuota:
+        return QuotaAnswer::kRefused;
+      default:
+        return QuotaAnswer::kNoAnswer;
+    }
+  }
+
+  void HandleAcquireQuota(const fleetwire::DatagramT& aDatagram)
+  {
+    const fleetwire::AcquireQuotaT& table = *aDatagram.body.AsAcquireQuota();
+    PeerRequests& requests = this->RequestsOf(aDatagram);
+    const bool settled = true;
+    if (Remember(
+          requests, table.request, { {}, std::nullopt, settled, BootNow() })) {
+      const QuotaAnswer answer =
+        this->handlers.onAcquireQuota(aDatagram.host, table.organisation);
+      requests.byId[table.request].response =
+        ReserveResponse{ StatusOf(answer), false };
+    }
+    if (const auto response = requests.byId[table.request].response) {
+      this->SendReserveResponse(this->sender, table.request, *response);
+    }
+  }
+
   void OnReserved(const std::string& aHost,
                   uint64_t aId,
                   const TokenRequest& aRequest,
@@ -470,7 +497,7 @@
     return;
   }
   aReport.sequence = ++self.sequence;
-  const std::string data = self.Encode(ToWire(aReport));
+  const std::string data = self.Encode(ReportToWire(aReport));
   const size_t count = std::min(kFanOut, self.peers.size());
   auto next = self.peers.upper_bound(self.lastReportedPeer);
   for (size_t i = 0; i < count; ++i) {
@@ -487,32 +514,37 @@
   return this->impl->peers.count(aHost) > 0;
 }
 
+void
+FleetLink::AcquireQuota(const std::string& aHost,
+                        uint64_t aOrganisationHash,
+                        Millis aWait,
+                        std::function<void(QuotaAnswer)> aDone)
+{
+  fleetwire::AcquireQuotaT table;
+  table.request = this->impl->nextRequestId++;
+  table.organisation = aOrganisationHash;
+  this->impl->Request(
+    aHost, table, aWait, [done = std::move(aDone)](ReserveResponse aResponse) {
+      done(Impl::AnswerOf(aResponse.status));
+    });
+}
+
 uint64_t
 FleetLink::Reserve(const std::string& aHost,
                    const TokenRequest& aRequest,
                    Millis aWait,
                    std::function<void(ReserveResponse)> aDone)
 {
-  Impl& self = *this->impl;
-  const uint64_t id = self.nextRequestId++;
   fleetwire::ReserveTokensT table;
-  table.request = id;
+  table.request = this->impl->nextRequestId++;
   table.program = aRequest.program;
   table.organisation = aRequest.organisation;
   table.continues = aRequest.continuesProgram;
   table.budget = aRequest.programBudget;
   table.most = aRequest.maxTokens;
   table.wait_ms = static_cast<uint32_t>(std::max<int64_t>(1, aWait.count()));
-  auto pending = std::make_unique<Impl::PendingRequest>(self.io);
-  pending->host = aHost;
-  pending->datagram = self.Encode(table);
-  pending->deadline = BootNow() + aWait;
-  pending->attemptsLeft =
-    static_cast<int>(aWait.count() / kRetransmitInterval.count()) + 1;
-  pending->done = std::move(aDone);
-  self.pendingRequests[id] = std::move(pending);
-  restinio::asio_ns::post(self.io, [&self, id] { self.Transmit(id); });
-  return id;
+  this->impl->Request(aHost, table, aWait, std::move(aDone));
+  return table.request;
 }
 
 void
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -21,6 +21,10 @@
 
 struct OrganisationUse;
 
+struct LeavingEndpoint;
+struct LeavingEndpointBuilder;
+struct LeavingEndpointT;
+
 struct LoadReport;
 struct LoadReportBuilder;
 struct LoadReportT;
@@ -29,6 +33,10 @@
 struct ReserveTokensBuilder;
 struct ReserveTokensT;
 
+struct AcquireQuota;
+struct AcquireQuotaBuilder;
+struct AcquireQuotaT;
+
 struct TokensReserved;
 struct TokensReservedBuilder;
 struct TokensReservedT;
@@ -52,37 +60,40 @@
   TokensReserved = 3,
   SettleTokens = 4,
   TokensSettled = 5,
+  AcquireQuota = 6,
   MIN = NONE,
-  MAX = TokensSettled
+  MAX = AcquireQuota
 };
 
-inline const Body (&EnumValuesBody())[6] {
+inline const Body (&EnumValuesBody())[7] {
   static const Body values[] = {
     Body::NONE,
     Body::LoadReport,
     Body::ReserveTokens,
     Body::TokensReserved,
     Body::SettleTokens,
-    Body::TokensSettled
+    Body::TokensSettled,
+    Body::AcquireQuota
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "NONE",
     "LoadReport",
     "ReserveTokens",
     "TokensReserved",
     "SettleTokens",
     "TokensSettled",
+    "AcquireQuota",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TokensSettled)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AcquireQuota)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -111,6 +122,10 @@
   static const Body enum_value = Body::TokensSettled;
 };
 
+template<> struct BodyTraits<tanagerseam::fleetwire::AcquireQuota> {
+  static const Body enum_value = Body::AcquireQuota;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -135,6 +150,10 @@
   static const Body enum_value = Body::TokensSettled;
 };
 
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::AcquireQuotaT> {
+  static const Body enum_value = Body::AcquireQuota;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -205,6 +224,14 @@
     return type == Body::TokensSettled ?
       reinterpret_cast<const tanagerseam::fleetwire::TokensSettledT *>(value) : nullptr;
   }
+  tanagerseam::fleetwire::AcquireQuotaT *AsAcquireQuota() {
+    return type == Body::AcquireQuota ?
+      reinterpret_cast<tanagerseam::fleetwire::AcquireQuotaT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::AcquireQuotaT *AsAcquireQuota() const {
+    return type == Body::AcquireQuota ?
+      reinterpret_cast<const tanagerseam::fleetwire::AcquireQuotaT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -294,6 +321,100 @@
   using type = OrganisationUse;
 };
 
+struct LeavingEndpointT : public flatbuffers::NativeTable {
+  typedef LeavingEndpoint TableType;
+  std::string id{};
+  int64_t started = 0;
+  int64_t announced = 0;
+};
+
+struct LeavingEndpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingEndpointT NativeTableType;
+  typedef LeavingEndpointBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_STARTED = 6,
+    VT_ANNOUNCED = 8
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t started() const {
+    return GetField<int64_t>(VT_STARTED, 0);
+  }
+  int64_t announced() const {
+    return GetField<int64_t>(VT_ANNOUNCED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED, 8) &&
+           VerifyField<int64_t>(verifier, VT_ANNOUNCED, 8) &&
+           verifier.EndTable();
+  }
+  LeavingEndpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeavingEndpointT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeavingEndpoint> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeavingEndpointBuilder {
+  typedef LeavingEndpoint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(LeavingEndpoint::VT_ID, id);
+  }
+  void add_started(int64_t started) {
+    fbb_.AddElement<int64_t>(LeavingEndpoint::VT_STARTED, started, 0);
+  }
+  void add_announced(int64_t announced) {
+    fbb_.AddElement<int64_t>(LeavingEndpoint::VT_ANNOUNCED, announced, 0);
+  }
+  explicit LeavingEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeavingEndpoint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeavingEndpoint>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t started = 0,
+    int64_t announced = 0) {
+  LeavingEndpointBuilder builder_(_fbb);
+  builder_.add_announced(announced);
+  builder_.add_started(started);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct LeavingEndpoint::Traits {
+  using type = LeavingEndpoint;
+  static auto constexpr Create = CreateLeavingEndpoint;
+};
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t started = 0,
+    int64_t announced = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return tanagerseam::fleetwire::CreateLeavingEndpoint(
+      _fbb,
+      id__,
+      started,
+      announced);
+}
+
+flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LoadReportT : public flatbuffers::NativeTable {
   typedef LoadReport TableType;
   uint64_t sequence = 0;
@@ -302,6 +423,11 @@
   bool store_lost = false;
   bool ready = false;
   std::string call_address{};
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::LeavingEndpointT>> leaving{};
+  LoadReportT() = default;
+  LoadReportT(const LoadReportT &o);
+  LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadReportT &operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -314,7 +440,8 @@
     VT_ORGANISATIONS = 8,
     VT_STORE_LOST = 10,
     VT_READY = 12,
-    VT_CALL_ADDRESS = 14
+    VT_CALL_ADDRESS = 14,
+    VT_LEAVING = 16
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -334,6 +461,9 @@
   const flatbuffers::String *call_address() const {
     return GetPointer<const flatbuffers::String *>(VT_CALL_ADDRESS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -345,6 +475,9 @@
            VerifyField<uint8_t>(verifier, VT_READY, 1) &&
            VerifyOffset(verifier, VT_CALL_ADDRESS) &&
            verifier.VerifyString(call_address()) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -374,6 +507,9 @@
   void add_call_address(flatbuffers::Offset<flatbuffers::String> call_address) {
     fbb_.AddOffset(LoadReport::VT_CALL_ADDRESS, call_address);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>>> leaving) {
+    fbb_.AddOffset(LoadReport::VT_LEAVING, leaving);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -392,9 +528,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationUse *>> organisations = 0,
     bool store_lost = false,
     bool ready = false,
-    flatbuffers::Offset<flatbuffers::String> call_address = 0) {
+    flatbuffers::Offset<flatbuffers::String> call_address = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>>> leaving = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
+  builder_.add_leaving(leaving);
   builder_.add_call_address(call_address);
   builder_.add_organisations(organisations);
   builder_.add_endpoints(endpoints);
@@ -415,10 +553,12 @@
     const std::vector<tanagerseam::fleetwire::OrganisationUse> *organisations = nullptr,
     bool store_lost = false,
     bool ready = false,
-    const char *call_address = nullptr) {
+    const char *call_address = nullptr,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>> *leaving = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::EndpointCalls>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::OrganisationUse>(*organisations) : 0;
   auto call_address__ = call_address ? _fbb.CreateString(call_address) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>>(*leaving) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       sequence,
@@ -426,7 +566,8 @@
       organisations__,
       store_lost,
       ready,
-      call_address__);
+      call_address__,
+      leaving__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -579,6 +720,75 @@
 
 flatbuffers::Offset<ReserveTokens> CreateReserveTokens(flatbuffers::FlatBufferBuilder &_fbb, const ReserveTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AcquireQuotaT : public flatbuffers::NativeTable {
+  typedef AcquireQuota TableType;
+  uint64_t request = 0;
+  uint64_t organisation = 0;
+};
+
+struct AcquireQuota FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AcquireQuotaT NativeTableType;
+  typedef AcquireQuotaBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ORGANISATION = 6
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint64_t organisation() const {
+    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
+           verifier.EndTable();
+  }
+  AcquireQuotaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AcquireQuotaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AcquireQuota> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AcquireQuotaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AcquireQuotaBuilder {
+  typedef AcquireQuota Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(AcquireQuota::VT_REQUEST, request, 0);
+  }
+  void add_organisation(uint64_t organisation) {
+    fbb_.AddElement<uint64_t>(AcquireQuota::VT_ORGANISATION, organisation, 0);
+  }
+  explicit AcquireQuotaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AcquireQuota> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AcquireQuota>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AcquireQuota> CreateAcquireQuota(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint64_t organisation = 0) {
+  AcquireQuotaBuilder builder_(_fbb);
+  builder_.add_organisation(organisation);
+  builder_.add_request(request);
+  return builder_.Finish();
+}
+
+struct AcquireQuota::Traits {
+  using type = AcquireQuota;
+  static auto constexpr Create = CreateAcquireQuota;
+};
+
+flatbuffers::Offset<AcquireQuota> CreateAcquireQuota(flatbuffers::FlatBufferBuilder &_fbb, const AcquireQuotaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TokensReservedT : public flatbuffers::NativeTable {
   typedef TokensReserved TableType;
   uint64_t request = 0;
@@ -842,6 +1052,9 @@
   const tanagerseam::fleetwire::TokensSettled *body_as_TokensSettled() const {
     return body_type() == tanagerseam::fleetwire::Body::TokensSettled ? static_cast<const tanagerseam::fleetwire::TokensSettled *>(body()) : nullptr;
   }
+  const tanagerseam::fleetwire::AcquireQuota *body_as_AcquireQuota() const {
+    return body_type() == tanagerseam::fleetwire::Body::AcquireQuota ? static_cast<const tanagerseam::fleetwire::AcquireQuota *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -877,6 +1090,10 @@
   return body_as_TokensSettled();
 }
 
+template<> inline const tanagerseam::fleetwire::AcquireQuota *Datagram::body_as<tanagerseam::fleetwire::AcquireQuota>() const {
+  return body_as_AcquireQuota();
+}
+
 struct DatagramBuilder {
   typedef Datagram Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -940,6 +1157,60 @@
 
 flatbuffers::Offset<Datagram> CreateDatagram(flatbuffers::FlatBufferBuilder &_fbb, const DatagramT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+inline LeavingEndpointT *LeavingEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeavingEndpointT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeavingEndpoint::UnPackTo(LeavingEndpointT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = started(); _o->started = _e; }
+  { auto _e = announced(); _o->announced = _e; }
+}
+
+inline flatbuffers::Offset<LeavingEndpoint> LeavingEndpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeavingEndpoint(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeavingEndpointT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _started = _o->started;
+  auto _announced = _o->announced;
+  return tanagerseam::fleetwire::CreateLeavingEndpoint(
+      _fbb,
+      _id,
+      _started,
+      _announced);
+}
+
+inline LoadReportT::LoadReportT(const LoadReportT &o)
+      : sequence(o.sequence),
+        endpoints(o.endpoints),
+        organisations(o.organisations),
+        store_lost(o.store_lost),
+        ready(o.ready),
+        call_address(o.call_address) {
+  leaving.reserve(o.leaving.size());
+  for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new tanagerseam::fleetwire::LeavingEndpointT(*leaving_) : nullptr); }
+}
+
+inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(endpoints, o.endpoints);
+  std::swap(organisations, o.organisations);
+  std::swap(store_lost, o.store_lost);
+  std::swap(ready, o.ready);
+  std::swap(call_address, o.call_address);
+  std::swap(leaving, o.leaving);
+  return *this;
+}
+
 inline LoadReportT *LoadReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LoadReportT>();
   UnPackTo(_o.get(), _resolver);
@@ -955,6 +1226,7 @@
   { auto _e = store_lost(); _o->store_lost = _e; }
   { auto _e = ready(); _o->ready = _e; }
   { auto _e = call_address(); if (_e) _o->call_address = _e->str(); }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<tanagerseam::fleetwire::LeavingEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -971,6 +1243,7 @@
   auto _store_lost = _o->store_lost;
   auto _ready = _o->ready;
   auto _call_address = _o->call_address.empty() ? 0 : _fbb.CreateString(_o->call_address);
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingEndpoint(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       _sequence,
@@ -978,7 +1251,8 @@
       _organisations,
       _store_lost,
       _ready,
-      _call_address);
+      _call_address,
+      _leaving);
 }
 
 inline ReserveTokensT *ReserveTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1025,6 +1299,35 @@
       _continues);
 }
 
+inline AcquireQuotaT *AcquireQuota::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AcquireQuotaT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AcquireQuota::UnPackTo(AcquireQuotaT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = organisation(); _o->organisation = _e; }
+}
+
+inline flatbuffers::Offset<AcquireQuota> AcquireQuota::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AcquireQuotaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAcquireQuota(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AcquireQuota> CreateAcquireQuota(flatbuffers::FlatBufferBuilder &_fbb, const AcquireQuotaT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AcquireQuotaT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _organisation = _o->organisation;
+  return tanagerseam::fleetwire::CreateAcquireQuota(
+      _fbb,
+      _request,
+      _organisation);
+}
+
 inline TokensReservedT *TokensReserved::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TokensReservedT>();
   UnPackTo(_o.get(), _resolver);
@@ -1175,6 +1478,10 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::TokensSettled *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::AcquireQuota: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AcquireQuota *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1214,6 +1521,10 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::TokensSettled *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::AcquireQuota: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AcquireQuota *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1241,6 +1552,10 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::TokensSettledT *>(value);
       return CreateTokensSettled(_fbb, ptr, _rehasher).Union();
     }
+    case Body::AcquireQuota: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AcquireQuotaT *>(value);
+      return CreateAcquireQuota(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1267,6 +1582,10 @@
       value = new tanagerseam::fleetwire::TokensSettledT(*reinterpret_cast<tanagerseam::fleetwire::TokensSettledT *>(u.value));
       break;
     }
+    case Body::AcquireQuota: {
+      value = new tanagerseam::fleetwire::AcquireQuotaT(*reinterpret_cast<tanagerseam::fleetwire::AcquireQuotaT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1299,6 +1618,11 @@
       delete ptr;
       break;
     }
+    case Body::AcquireQuota: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::AcquireQuotaT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/fleet/member_table.cc
+++ b/fleet/member_table.cc
@@ -1,5 +1,7 @@
 #include "fleet/member_table.h"
 
+#include <algorithm>
+
 namespace tanagerseam {
 
 void
@@ -50,9 +52,12 @@
   if (!logStable) {
     return expired;
   }
+  const Millis reportTimeout =
+    std::max(kMinReportTimeout,
+             kMissedReports * FleetLink::ReportPeriod(this->entries.size()));
   for (auto it = this->entries.begin(); it != this->entries.end();) {
     const Entry& entry = it->second;
-    const bool silent = aNow - entry.reportedAt > kReportTimeout;
+    const bool silent = aNow - entry.reportedAt > reportTimeout;
     const bool isExpired = silent && aNow > entry.expiresAt;
     if (isExpired) {
       expired.push_back(it->first);
--- a/fleet/member_table.h
+++ b/fleet/member_table.h
@@ -10,8 +10,9 @@
 // A host announces itself every kAnnounceInterval. When a member is removed,
 // the remaining members use its share of every quota. A member is therefore
 // removed only if all of these hold: its announcement has expired, it has sent
-// no report for kReportTimeout, and the log has been readable without a fault
-// for long enough that a live host would have announced itself again.
+// no report for kMinReportTimeout or several report periods, and the log has
+// been readable without a fault for long enough that a live host would have
+// announced itself again.
 #ifndef TANAGERSEAM_FLEET_MEMBER_TABLE_H_
 #define TANAGERSEAM_FLEET_MEMBER_TABLE_H_
 
@@ -31,7 +32,9 @@
   // For an announcement made before this host began to read the log, whose age
   // is unknown.
   static constexpr Millis kUnknownAgeTtl{ 6000 };
-  static constexpr Millis kReportTimeout{ 4000 };
+  // Applies where it is longer than kMissedReports report periods.
+  static constexpr Millis kMinReportTimeout{ 4000 };
+  static constexpr int kMissedReports = 3;
   // No member expires until the log has been readable for this long. A host
   // whose announcement failed retries within this time.
   static constexpr Millis kLogStablePeriod{ 8000 };
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -56,6 +56,7 @@
     report.startTime = aStartTime;
     report.endpointLoads[EndpointHash("e")] = 3;
     report.quotaReports[OrganisationHash("club")] = { 4.5, 100, 7, 80 };
+    report.leavingEndpoints = { { "e-9", 1700000000000, 1700000060000 } };
     aLink.SendReport(report);
     this->RunFor(Millis(20));
   }
@@ -83,6 +84,12 @@
   EXPECT_EQ(
     this->reports[0].quotaReports.at(OrganisationHash("club")).reservedCalls,
     80);
+  ASSERT_EQ(this->reports[0].leavingEndpoints.size(), 1u);
+  EXPECT_EQ(this->reports[0].leavingEndpoints[0].id, "e-9");
+  EXPECT_EQ(this->reports[0].leavingEndpoints[0].startedAtMillis,
+            1700000000000);
+  EXPECT_EQ(this->reports[0].leavingEndpoints[0].announcedAtMillis,
+            1700000060000);
 }
 
 TEST_F(FleetLinkTest, AcceptsRestartWithEarlierClockAfterSilence)
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -55,6 +55,12 @@
       this->DrawRetryAfter());
     return false;
   }
+  if (!shared.membersConfirmed) {
+    this->RefuseWithRetryAfter(RefusalReason::kNotReady,
+                               "the members of the fleet are not known yet",
+                               this->DrawRetryAfter());
+    return false;
+  }
   this->route = this->catalog->FindRoute(this->call.host, this->call.target);
   if (this->route == nullptr) {
     this->Refuse(RefusalReason::kUnknownRoute,
@@ -107,29 +113,45 @@
   this->RefuseWithRetryAfter(
     RefusalReason::kRateExceeded,
     "organisation " + name + " over its rate quota: fleet bucket " +
-      std::to_string(quotaStatus.fleetBucket) + " host bucket " +
-      std::to_string(quotaStatus.hostBucket) + " reservation bucket " +
-      std::to_string(quotaStatus.reservationBucket) + " calls per program " +
-      std::to_string(quotaStatus.callsPerProgram) + " rate " +
-      std::to_string(quotaStatus.ratePerSecond) + " demand share " +
-      std::to_string(quotaStatus.demandShare) + " reachable members " +
-      std::to_string(quotaStatus.reachableMembers) + "/" +
-      std::to_string(quotaStatus.members),
+      std::to_string(quotaStatus.fleetBucket) + " owner " + quotaStatus.owner +
+      " reservation bucket " + std::to_string(quotaStatus.reservationBucket) +
+      " calls per program " + std::to_string(quotaStatus.callsPerProgram) +
+      " rate " + std::to_string(quotaStatus.ratePerSecond) +
+      " reachable members " + std::to_string(quotaStatus.reachableMembers) +
+      "/" + std::to_string(quotaStatus.members),
     this->DrawRetryAfter());
 }
 
-bool
+void
 CallFlow::AcquireQuota()
 {
   if (this->organisation == nullptr) {
-    return true;
+    this->Place();
+    return;
   }
-  if (this->state.quota.AdmitCall(this->organisation->name, BootNow())) {
-    this->quotaAcquired = true;
-    return true;
+  this->state.quotaClient.Acquire(
+    this->organisation->name,
+    this->deadline,
+    [self = this->shared_from_this()](bool aAdmitted) {
+      self->OnQuotaDecision(aAdmitted);
+    });
+}
+
+void
+CallFlow::OnQuotaDecision(bool aAdmitted)
+{
+  if (this->ended) {
+    if (aAdmitted) {
+      this->state.quota.RefundCall(this->organisation->name);
+    }
+    return;
   }
-  this->RefuseOverQuota();
-  return false;
+  if (!aAdmitted) {
+    this->RefuseOverQuota();
+    return;
+  }
+  this->quotaAcquired = true;
+  this->Place();
 }
 
 // Refuses a call that waits for the record log early enough for the client to
@@ -180,18 +202,15 @@
                         this->call.program && this->call.program->tokenBudget;
   // A turn of a route that keeps history can't complete without the record log,
   // so it is refused before it starts.
-  const bool needsLog = budgeted || this->route->retainsHistory;
-  if (needsLog && this->state.persistentLog.IsUnavailable(BootNow())) {
-    this->RefuseWithRetryAfter(
-      RefusalReason::kLogUnavailable,
-      "the record log for turns and budgets is unavailable",
-      this->DrawRetryAfter());
+  if (this->route->retainsHistory &&
+      this->state.persistentLog.IsUnavailable(BootNow())) {
+    this->RefuseWithRetryAfter(RefusalReason::kLogUnavailable,
+                               "the record log for turns is unavailable",
+                               this->DrawRetryAfter());
     return;
   }
   if (!budgeted) {
-    if (this->AcquireQuota()) {
-      this->Place();
-    }
+    this->AcquireQuota();
     return;
   }
   const int64_t maxTokens = std::max<int64_t>(this->call.maxOutputTokens, 1);
@@ -224,9 +243,7 @@
   switch (aStatus) {
     case TurnReservationStatus::kReserved:
       this->reservation = aReservation;
-      if (this->AcquireQuota()) {
-        this->Place();
-      }
+      this->AcquireQuota();
       return;
     case TurnReservationStatus::kBudgetExhausted:
       this->Refuse(RefusalReason::kBudgetExhausted,
@@ -263,7 +280,9 @@
   dispatchCall.affinityKey = this->call.affinityKey;
   dispatchCall.maxOutputTokens =
     this->route->kind == CallKind::kStream ? this->call.maxOutputTokens : 0;
-  dispatchCall.excludedEndpoints = this->triedEndpoints;
+  dispatchCall.excludedEndpoints = this->call.excludedEndpoints;
+  dispatchCall.excludedEndpoints.insert(this->triedEndpoints.begin(),
+                                        this->triedEndpoints.end());
   return dispatchCall;
 }
 
@@ -274,18 +293,8 @@
   this->state.calls[this->dispatchId] = this->weak_from_this();
   const DispatchDecision decision =
     this->state.dispatcher.Submit(this->MakeDispatchCall(), now);
-  const auto* refused = std::get_if<Refused>(&decision);
-  if (refused != nullptr && this->mayHaveExecuted) {
-    this->Refuse(RefusalReason::kEndpointFailed,
-                 "no endpoint for another attempt");
-    return;
-  }
-  if (refused != nullptr) {
-    const bool noEndpoint = refused->reason == DispatchRefusal::kNoEndpoint;
-    this->RefuseWithRetryAfter(
-      noEndpoint ? RefusalReason::kNoEndpoint : RefusalReason::kOverloaded,
-      "service utilisation " + std::to_string(refused->utilisation),
-      this->DrawRetryAfter());
+  if (const auto* refused = std::get_if<Refused>(&decision)) {
+    this->OnPlacementRefused(*refused);
     return;
   }
   this->inDispatcher = true;
@@ -294,4 +303,26 @@
   }
 }
 
+void
+CallFlow::OnPlacementRefused(const Refused& aRefused)
+{
+  if (this->mayHaveExecuted) {
+    this->Refuse(RefusalReason::kEndpointFailed,
+                 "no endpoint for another attempt");
+    return;
+  }
+  const bool noEndpoint = aRefused.reason == DispatchRefusal::kNoEndpoint;
+  this->RefuseWithRetryAfter(
+    noEndpoint ? RefusalReason::kNoEndpoint : RefusalReason::kOverloaded,
+    "service utilisation " + std::to_string(aRefused.utilisation),
+    this->DrawRetryAfter());
+}
+
+void
+CallFlow::OnUnservable()
+{
+  this->inDispatcher = false;
+  this->OnPlacementRefused({ DispatchRefusal::kNoEndpoint, 0 });
+}
+
 } // namespace tanagerseam
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -120,7 +120,7 @@
   this->firstEventAt = TimePoint{};
   RelayHandlers handlers;
   auto self = this->shared_from_this();
-  handlers.onHead = [self](const EndpointResponseHead& aHead) {
+  handlers.onHead = [self](EndpointResponseHead& aHead) {
     self->OnHead(aHead);
   };
   handlers.onEvent = [self](std::string_view aData) {
@@ -134,8 +134,15 @@
 }
 
 void
-CallFlow::OnHead(const EndpointResponseHead& aHead)
+CallFlow::OnHead(EndpointResponseHead& aHead)
 {
+  if (aHead.leaving) {
+    this->state.MarkLeavingNow(this->endpointId, "response");
+  }
+  if (aHead.leaving && this->call.forwarded) {
+    this->state.dependencies.dialect.AddLeavingEndpoint(aHead.headers,
+                                                        this->endpointId);
+  }
   if (aHead.load) {
     this->state.dispatcher.OnEndpointReport(
       this->endpointId, aHead.load->running + aHead.load->waiting, BootNow());
@@ -354,6 +361,9 @@
   }
   std::uniform_int_distribution<size_t> distribution(0, addresses.size() - 1);
   const std::string& address = addresses[distribution(this->state.random)];
+  for (const LeavingEndpoint& leaving : this->state.endpoints.Leaving()) {
+    this->call.excludedEndpoints.insert(leaving.id);
+  }
   const TimePoint forwardDeadline =
     this->arrivedAt + this->call.remainingTime.value_or(kDefaultForwardTimeout);
   auto forwarded = std::make_shared<ForwardedCall>(
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -34,6 +34,8 @@
   void Start();
   // Sends the call to the endpoint that the dispatcher chose.
   void Send(const Placement& aPlacement);
+  // The dispatcher has dropped the queued call: no endpoint is left for it.
+  void OnUnservable();
 
 private:
   // ---- admission; each step refuses the call if it fails
@@ -41,8 +43,9 @@
   bool FindRoute();
   // Sets the organisation from the API key, if one is needed. False: refused.
   bool CheckApiKey();
-  // Takes one call out of the organisation's rate quota. False: refused.
-  bool AcquireQuota();
+  // Takes one call out of the organisation's rate quota, then places the call.
+  void AcquireQuota();
+  void OnQuotaDecision(bool aAdmitted);
   void RefuseOverQuota();
   // Deadline of record log operations before the call is placed.
   TimePoint RecordLogDeadline() const;
@@ -55,11 +58,12 @@
                           const TurnReservation& aReservation);
   // Hands the call to the dispatcher, which places, queues or refuses it.
   void Place();
+  void OnPlacementRefused(const Refused& aRefused);
   DispatchCall MakeDispatchCall() const;
 
   // ---- one attempt at an endpoint
   void StartExchange();
-  void OnHead(const EndpointResponseHead& aHead);
+  void OnHead(EndpointResponseHead& aHead);
   void OnDone(const EventOutcome& aOutcome);
   // Reports the attempt's result to the dispatcher.
   void EndAttempt(AttemptResult aEnd);
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -56,6 +56,12 @@
   // Whether the call may be repeated is not known here.
   out.ownConnection = true;
   RelayHandlers handlers;
+  handlers.onHead =
+    [self = this->shared_from_this()](const EndpointResponseHead& aHead) {
+      if (!aHead.leavingEndpoint.empty()) {
+        self->state.MarkLeavingNow(aHead.leavingEndpoint, "forwarded_response");
+      }
+    };
   handlers.onDone = [self = this->shared_from_this()](
                       const EventOutcome& aOutcome) { self->OnDone(aOutcome); };
   this->relay = this->state.MakeRelay(this->reply);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -45,11 +45,13 @@
   , quota(this->settings.host,
           this->settings.startTime,
           this->settings.quotaSlack)
+  , quotaClient(this->quota, aDependencies.link, aDependencies.metrics)
   , persistentLog(aDependencies.io, aDependencies.log)
   , budgets(this->persistentLog, MakeProgramSettings(this->settings))
   , turnBudgets(this->settings.host,
                 aDependencies.link,
                 this->budgets,
+                this->persistentLog,
                 [this](const std::string& aOrganisation) {
                   return this->quota.AdmitProgram(aOrganisation, BootNow());
                 })
@@ -83,7 +85,8 @@
 GatewayState::Ready(TimePoint aNow) const
 {
   return !this->draining && this->endpointsConfirmed &&
-         this->CatalogFresh(aNow) && !this->StoreUnavailable(aNow);
+         this->membersConfirmed && this->CatalogFresh(aNow) &&
+         !this->StoreUnavailable(aNow);
 }
 
 void
@@ -101,6 +104,30 @@
     }
     this->dispatcher.SetEndpoints(entry.first, entry.second);
   }
+  this->RefuseUnservableCalls();
+}
+
+void
+GatewayState::MarkLeaving(const LeavingEndpoint& aAnnouncement,
+                          const char* aSource)
+{
+  if (!this->endpoints.MarkLeaving(aAnnouncement, BootNow())) {
+    return;
+  }
+  LogInfo("endpoint_leaving",
+          { { "endpoint", aAnnouncement.id },
+            { "source", aSource },
+            { "started", std::to_string(aAnnouncement.startedAtMillis) },
+            { "announced", std::to_string(aAnnouncement.announcedAtMillis) } });
+  this->UpdateDispatcher();
+}
+
+void
+GatewayState::MarkLeavingNow(const std::string& aEndpoint, const char* aSource)
+{
+  const EndpointEntry* entry = this->endpoints.Find(aEndpoint);
+  const int64_t startedAtMillis = entry == nullptr ? 0 : entry->startedAtMillis;
+  this->MarkLeaving({ aEndpoint, startedAtMillis, WallMillis() }, aSource);
 }
 
 void
@@ -114,7 +141,7 @@
       others.push_back(member);
     }
   }
-  this->quota.SetMembers(hosts);
+  this->quota.SetMembers(hosts, FleetLink::ReportPeriod(others.size()));
   this->turnBudgets.SetMembers(hosts);
   this->dependencies.link.SetPeers(std::move(others));
 }
@@ -128,13 +155,28 @@
                                          this->responseMemory);
 }
 
+std::shared_ptr<CallFlow>
+GatewayState::FindCall(uint64_t aDispatchId) const
+{
+  auto found = this->calls.find(aDispatchId);
+  return found == this->calls.end() ? nullptr : found->second.lock();
+}
+
+void
+GatewayState::RefuseUnservableCalls()
+{
+  for (const uint64_t id : this->dispatcher.DropUnservable(BootNow())) {
+    if (const auto call = this->FindCall(id)) {
+      call->OnUnservable();
+    }
+  }
+}
+
 void
 GatewayState::SendQueuedCalls()
 {
   for (const Placement& placement : this->dispatcher.PlaceQueued(BootNow())) {
-    auto found = this->calls.find(placement.callId);
-    auto call = found == this->calls.end() ? nullptr : found->second.lock();
-    if (call) {
+    if (const auto call = this->FindCall(placement.callId)) {
       call->Send(placement);
     } else {
       this->dispatcher.OnAttemptEnded(
@@ -189,10 +231,11 @@
     hostReport.startTime = this->state.settings.startTime;
     hostReport.endpointLoads = this->state.dispatcher.OwnLoads();
     hostReport.quotaReports = this->state.quota.OwnReports(now);
+    hostReport.leavingEndpoints = this->state.endpoints.Leaving();
     this->state.dependencies.link.SendReport(std::move(hostReport));
     this->UpdateGauges(now);
     FlushLog();
-    this->reportTimer.expires_after(kReportInterval);
+    this->reportTimer.expires_after(FleetLink::kReportInterval);
     this->reportTimer.async_wait([this](const auto& aError) {
       if (!aError) {
         this->PublishReport();
@@ -240,6 +283,9 @@
       aReport.host, !aReport.storeUnavailable, now);
     this->state.quota.OnPeerReport(
       aReport.host, aReport.startTime, aReport.quotaReports, now);
+    for (const LeavingEndpoint& announcement : aReport.leavingEndpoints) {
+      this->state.MarkLeaving(announcement, "peer");
+    }
   }
 
   GatewayState state;
@@ -268,6 +314,10 @@
     self->state.turnBudgets.ReserveForPeer(
       aRequest, aTimeout, std::move(aDone));
   };
+  handlers.onAcquireQuota = [self](const std::string& aHost,
+                                   uint64_t aOrganisationHash) {
+    return self->state.quotaClient.AcquireForPeer(aHost, aOrganisationHash);
+  };
   handlers.onSettle = [self](const TokenRequest& aRequest,
                              int64_t aUsedTokens) {
     self->state.turnBudgets.SettleForPeer(aRequest, aUsedTokens);
@@ -401,6 +451,7 @@
 Gateway::ConfirmMembers()
 {
   this->impl->state.members.OnLogAvailable(BootNow());
+  this->impl->state.membersConfirmed = true;
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -85,9 +85,6 @@
 class Gateway
 {
 public:
-  // Interval between state reports to the other hosts.
-  static constexpr Millis kReportInterval{ 100 };
-
   Gateway(GatewaySettings aSettings, GatewayDependencies aDependencies);
   ~Gateway();
   Gateway(const Gateway&) = delete;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway/connection_policy.h"
 #include "gateway/gateway.h"
 #include "gateway/peer_table.h"
+#include "gateway/quota_client.h"
 #include "gateway/response_relay.h"
 #include "gateway/turn_budgets.h"
 
@@ -30,6 +31,11 @@
   Millis CatalogAge(TimePoint aNow) const;
   // Passes the usable endpoints to the dispatcher.
   void UpdateDispatcher();
+  // Stops new calls to an endpoint that is about to shut down. aSource is for
+  // the log.
+  void MarkLeaving(const LeavingEndpoint& aAnnouncement, const char* aSource);
+  // Of an endpoint that announced it in a response that arrives now.
+  void MarkLeavingNow(const std::string& aEndpoint, const char* aSource);
   // True if the configuration has been unreadable for longer than
   // kStoreUnavailableAfter.
   bool StoreUnavailable(TimePoint aNow) const;
@@ -41,6 +47,10 @@
     const std::shared_ptr<EventReply>& aReply) const;
   // Sends the queued calls for which the dispatcher has an endpoint now.
   void SendQueuedCalls();
+  // Refuses the queued calls that no endpoint is left for.
+  void RefuseUnservableCalls();
+  // The call in the dispatcher; null if it has ended.
+  std::shared_ptr<CallFlow> FindCall(uint64_t aDispatchId) const;
 
   GatewaySettings settings;
   GatewayDependencies dependencies;
@@ -51,10 +61,14 @@
   TimePoint catalogConfirmedAt{};
   EndpointTable endpoints;
   bool endpointsConfirmed = false;
+  // The members were read at least once. Until then this host would take itself
+  // for the whole fleet.
+  bool membersConfirmed = false;
   // When reading the configuration first failed; unset while it succeeds.
   TimePoint storeUnavailableSince{};
   Dispatcher dispatcher;
   FleetQuota quota;
+  QuotaClient quotaClient;
   RetryingLog persistentLog;
   BudgetService budgets;
   TurnBudgets turnBudgets;
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -14,9 +14,8 @@
 class PeerTable
 {
 public:
-  // A report expires after this time, multiplied by the number of report rounds
-  // that a host needs to reach all members.
-  static constexpr Millis kReportLifetime{ 600 };
+  // A report expires after this many report periods.
+  static constexpr int kReportLifetime = 6;
 
   void RecordReport(const HostReport& aReport, TimePoint aNow)
   {
@@ -27,13 +26,12 @@
   // ready.
   std::vector<std::string> ReadyAddresses(TimePoint aNow) const
   {
-    const auto reportRounds =
-      static_cast<int64_t>(1 + this->peers.size() / (FleetLink::kFanOut + 1));
+    const Millis lifetime =
+      kReportLifetime * FleetLink::ReportPeriod(this->peers.size());
     std::vector<std::string> addresses;
     for (const auto& entry : this->peers) {
       const Peer& peer = entry.second;
-      const bool current =
-        aNow - peer.lastReportAt <= kReportLifetime * reportRounds;
+      const bool current = aNow - peer.lastReportAt <= lifetime;
       if (peer.ready && current && !peer.callAddress.empty()) {
         addresses.push_back(peer.callAddress);
       }
--- a/gateway/response_relay.h
+++ b/gateway/response_relay.h
@@ -36,8 +36,9 @@
 // Each may be empty; none is called after Cancel.
 struct RelayHandlers
 {
-  // The head of the response, before anything is sent to the client.
-  std::function<void(const EndpointResponseHead&)> onHead;
+  // The head of the response, before anything is sent to the client. May change
+  // the headers that are sent.
+  std::function<void(EndpointResponseHead&)> onHead;
   // The data of an event, before its end is sent to the client. False ends the
   // exchange: there is no room for it.
   std::function<bool(std::string_view)> onEvent;
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -80,6 +80,7 @@
     content.organisations = { { "club", { aKey }, {}, 1000, 1000 } };
     this->gateway.SetCatalog(std::make_shared<const Catalog>(content));
     this->gateway.ConfirmCatalog(BootNow());
+    this->gateway.ConfirmMembers();
   }
 
   void AddEndpoint(const std::string& aId,
--- a/gateway/testing/gateway_forward_test.cc
+++ b/gateway/testing/gateway_forward_test.cc
@@ -21,7 +21,7 @@
   // Runs until the hosts have exchanged reports.
   void ExchangeReports()
   {
-    const TimePoint end = BootNow() + 3 * Gateway::kReportInterval;
+    const TimePoint end = BootNow() + 3 * FleetLink::kReportInterval;
     this->RunUntil([end] { return BootNow() > end; });
   }
 
--- a/gateway/turn_budgets.cc
+++ b/gateway/turn_budgets.cc
@@ -1,9 +1,15 @@
 #include "gateway/turn_budgets.h"
 
+#include <algorithm>
+
 namespace tanagerseam {
 
 namespace {
 
+// An owner that waits for the log answers this long before the asker's timeout,
+// so that it is not taken for silent.
+constexpr Millis kAnswerMargin(25);
+
 TurnReservationStatus
 ToReservationStatus(BudgetVerdict aVerdict)
 {
@@ -39,10 +45,12 @@
 TurnBudgets::TurnBudgets(std::string aOwnHost,
                          FleetLink& aLink,
                          BudgetService& aBudgetService,
+                         const RetryingLog& aLog,
                          ProgramAdmission aAdmitProgram)
   : ownHost(std::move(aOwnHost))
   , link(aLink)
   , budgetService(aBudgetService)
+  , log(aLog)
   , admitProgram(std::move(aAdmitProgram))
 {
 }
@@ -58,37 +66,52 @@
                              bool aLogReachable,
                              TimePoint aNow)
 {
-  if (aLogReachable) {
-    this->lastHeartbeatAt[aHost] = aNow;
-  } else {
-    this->lastHeartbeatAt.erase(aHost);
-  }
+  this->lastHeartbeats[aHost] = { aNow, aLogReachable };
+}
+
+bool
+TurnBudgets::IsAlive(const std::string& aHost, TimePoint aNow) const
+{
+  const Millis timeout =
+    kMissedHeartbeats * FleetLink::ReportPeriod(this->members.size());
+  auto last = this->lastHeartbeats.find(aHost);
+  return last != this->lastHeartbeats.end() &&
+         aNow - last->second.at <= timeout;
 }
 
 bool
-TurnBudgets::IsOwnerCandidate(const std::string& aHost, TimePoint aNow) const
+TurnBudgets::IsSuspect(const std::string& aHost, TimePoint aNow) const
 {
   auto suspected = this->suspectUntil.find(aHost);
-  if (suspected != this->suspectUntil.end() && aNow < suspected->second) {
-    return false;
-  }
-  // A report goes to kFanOut peers at most, so in a larger fleet the reports of
-  // one member arrive less often.
-  const auto reportRounds =
-    static_cast<int64_t>(1 + this->members.size() / (FleetLink::kFanOut + 1));
-  auto lastHeartbeat = this->lastHeartbeatAt.find(aHost);
-  return lastHeartbeat != this->lastHeartbeatAt.end() &&
-         aNow - lastHeartbeat->second <= kHeartbeatTimeout * reportRounds;
+  return suspected != this->suspectUntil.end() && aNow < suspected->second;
+}
+
+bool
+TurnBudgets::AnyPeerReachesLog(TimePoint aNow) const
+{
+  return std::any_of(this->members.begin(),
+                     this->members.end(),
+                     [this, aNow](const std::string& aMember) {
+                       auto last = this->lastHeartbeats.find(aMember);
+                       return last != this->lastHeartbeats.end() &&
+                              last->second.logReachable &&
+                              this->IsAlive(aMember, aNow);
+                     });
 }
 
 std::string
 TurnBudgets::FindBudgetOwner(const std::string& aProgram, TimePoint aNow) const
 {
+  const bool logNeeded = this->AnyPeerReachesLog(aNow);
   std::string owner = this->ownHost;
   uint64_t highest = StableHash(aProgram + "@" + this->ownHost);
   for (const std::string& member : this->members) {
     const uint64_t hash = StableHash(aProgram + "@" + member);
-    if (hash > highest && this->IsOwnerCandidate(member, aNow)) {
+    if (hash <= highest || !this->IsAlive(member, aNow) ||
+        this->IsSuspect(member, aNow)) {
+      continue;
+    }
+    if (!logNeeded || this->lastHeartbeats.at(member).logReachable) {
       highest = hash;
       owner = member;
     }
@@ -148,6 +171,12 @@
                             TimePoint aDeadline,
                             Callback aDone)
 {
+  if (this->log.IsUnavailable(BootNow()) &&
+      !this->budgetService.CanReserveWithoutLog(aRequest.program,
+                                                aRequest.maxTokens)) {
+    aDone(TurnReservationStatus::kUnavailable, { aRequest, "", 0, false });
+    return;
+  }
   const bool beginsProgram = !aRequest.continuesProgram &&
                              this->budgetService.IsNewProgram(aRequest.program);
   if (beginsProgram && !this->admitProgram(aRequest.organisation)) {
@@ -184,7 +213,7 @@
   this->ReserveLocally(
     aRequest,
     GrantMode::kBatch,
-    BootNow() + aTimeout,
+    BootNow() + std::max(Millis(1), aTimeout - kAnswerMargin),
     [done = std::move(aDone)](TurnReservationStatus aStatus,
                               const TurnReservation& aReservation) {
       done({ ToReserveStatus(aStatus), aReservation.beginsProgram });
--- a/gateway/turn_budgets.h
+++ b/gateway/turn_budgets.h
@@ -1,7 +1,7 @@
 // Reserves budget tokens for turns through the owner of each program's budget.
 // Private to this library.
 //
-//   TurnBudgets budgets("host-1", link, budgetService, admitProgram);
+//   TurnBudgets budgets("host-1", link, budgetService, log, admitProgram);
 //   budgets.SetMembers({ "host-1", "host-2" });
 //   budgets.Reserve(request, deadline, [](auto aStatus, auto aReservation) {
 //     ...
@@ -15,9 +15,11 @@
 // and not an append. The owner also detects the first turn of a program and
 // admits new programs against the organisation's quota. If the owner does not
 // respond or can't decide, this host obtains a grant from the log for this turn
-// alone. Ownership is not exclusive: hosts that disagree about the owner cost
-// additional appends but never overspend, since every reservation is covered by
-// a grant in the log.
+// alone. A member that can't reach the log is not chosen as owner, unless no
+// member can: then the grants that the owners hold are all there is. Ownership
+// is not exclusive: hosts that disagree about the owner cost additional appends
+// but never overspend, since every reservation is covered by a grant in the
+// log.
 #ifndef TANAGERSEAM_GATEWAY_TURN_BUDGETS_H_
 #define TANAGERSEAM_GATEWAY_TURN_BUDGETS_H_
 
@@ -61,9 +63,9 @@
   static constexpr Millis kOwnerTimeout{ 100 };
   // An owner that timed out is not chosen again for this long.
   static constexpr Millis kSuspicionDuration{ 1000 };
-  // Failure detector: a member whose last heartbeat is older is not chosen as
-  // owner. Multiplied by the report rounds that reach all members.
-  static constexpr Millis kHeartbeatTimeout{ 1100 };
+  // Failure detector: a member whose last heartbeat is older than this many
+  // report periods is not chosen as owner.
+  static constexpr int kMissedHeartbeats = 11;
 
   using Callback = std::function<void(TurnReservationStatus, TurnReservation)>;
   // Returns whether the organisation's quota admits a new program.
@@ -72,11 +74,11 @@
   TurnBudgets(std::string aOwnHost,
               FleetLink& aLink,
               BudgetService& aBudgetService,
+              const RetryingLog& aLog,
               ProgramAdmission aAdmitProgram);
 
   void SetMembers(const std::vector<std::string>& aHosts);
-  // Records a report of a member. One that can't reach the record log is not
-  // chosen as owner.
+  // Records a report of a member.
   void RecordHeartbeat(const std::string& aHost,
                        bool aLogReachable,
                        TimePoint aNow);
@@ -92,6 +94,12 @@
   void SettleForPeer(const TokenRequest& aRequest, int64_t aUsedTokens);
 
 private:
+  struct Heartbeat
+  {
+    TimePoint at{};
+    bool logReachable = false;
+  };
+
   // The owner of the program's budget; this host if no other member qualifies.
   std::string FindBudgetOwner(const std::string& aProgram,
                               TimePoint aNow) const;
@@ -100,15 +108,19 @@
                       GrantMode aUse,
                       TimePoint aDeadline,
                       Callback aDone);
-  bool IsOwnerCandidate(const std::string& aHost, TimePoint aNow) const;
+  bool IsAlive(const std::string& aHost, TimePoint aNow) const;
+  bool IsSuspect(const std::string& aHost, TimePoint aNow) const;
+  // True if a live member, other than this host, reaches the record log.
+  bool AnyPeerReachesLog(TimePoint aNow) const;
 
   std::string ownHost;
   FleetLink& link;
   BudgetService& budgetService;
+  const RetryingLog& log;
   ProgramAdmission admitProgram;
   std::vector<std::string> members;
   std::unordered_map<std::string, TimePoint> suspectUntil;
-  std::unordered_map<std::string, TimePoint> lastHeartbeatAt;
+  std::unordered_map<std::string, Heartbeat> lastHeartbeats;
 };
 
 } // namespace tanagerseam
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -65,6 +65,15 @@
   this->RequestGrantForWaiters(aProgram);
 }
 
+bool
+BudgetService::CanReserveWithoutLog(const std::string& aProgram,
+                                    int64_t aReservedTokens) const
+{
+  auto found = this->programs.find(aProgram);
+  return found != this->programs.end() && found->second.waiters.empty() &&
+         found->second.availableTokens >= aReservedTokens;
+}
+
 bool
 BudgetService::IsNewProgram(const std::string& aProgram) const
 {
@@ -347,7 +356,7 @@
     const bool logAvailable = !this->log.IsUnavailable(aNow);
     if (inactive && logAvailable && program.pendingReturn) {
       this->AppendReturn(it->first);
-    } else if (inactive && logAvailable && idle > kIdleBeforeReturn &&
+    } else if (inactive && !this->log.IsFailing() && idle > kIdleBeforeReturn &&
                program.availableTokens > 0) {
       this->ReturnAvailable(it->first, program);
     }
--- a/program/program.h
+++ b/program/program.h
@@ -20,8 +20,9 @@
 // owns a program, and a lost acknowledgement or a duplicate record changes
 // nothing. A host requests grants for more than one turn and reserves turns
 // from them without further appends. Tokens left unused for kIdleBeforeReturn
-// are returned as soon as the log accepts the return record.
-// Invariant: tokens used on all hosts <= accepted grants - returned tokens
+// are returned, unless the log is failing: then they are kept, since the
+// program can use nothing else. Invariant: tokens used on all hosts <= accepted
+// grants - returned tokens
 // <= budget. Unused tokens held by a host that crashes are lost to the program.
 //
 // History. A turn is a record in the partition of its id, or in one of two
@@ -159,6 +160,9 @@
                GrantMode aMode,
                TimePoint aDeadline,
                Callback aDone);
+  // True if the tokens that are granted to this host cover the reservation.
+  bool CanReserveWithoutLog(const std::string& aProgram,
+                            int64_t aReservedTokens) const;
   // True if this host has no turn of the program in flight or waiting and has
   // not served one since it last evicted the program.
   bool IsNewProgram(const std::string& aProgram) const;
--- a/program/testing/budget_test.cc
+++ b/program/testing/budget_test.cc
@@ -156,6 +156,17 @@
   EXPECT_EQ(this->Reserve(this->one), BudgetVerdict::kReserved);
 }
 
+TEST_F(BudgetServiceTest, GrantedTokensCoverTurnsWithoutLog)
+{
+  EXPECT_FALSE(this->one.service.CanReserveWithoutLog("club/p", kTurnTokens));
+  EXPECT_EQ(this->Reserve(this->one), BudgetVerdict::kReserved);
+  EXPECT_FALSE(this->one.service.CanReserveWithoutLog("club/p", kTurnTokens));
+  this->one.service.Settle("club/p", kTurnTokens, 0);
+  this->log.down = true;
+  EXPECT_TRUE(this->one.service.CanReserveWithoutLog("club/p", kTurnTokens));
+  EXPECT_EQ(this->Reserve(this->one), BudgetVerdict::kReserved);
+}
+
 TEST_F(BudgetServiceTest, CrashedHostLosesOnlyItsGrant)
 {
   EXPECT_EQ(this->Reserve(this->one), BudgetVerdict::kReserved);
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -1,6 +1,7 @@
 #include "quota/quota.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <set>
 
@@ -8,9 +9,10 @@
 
 namespace {
 
-// Fraction of the slack that is added to the burst.
+// Fraction of the slack that is added to the burst; the rest is the local
+// allowance.
 constexpr double kBurstSlackFraction = 0.5;
-// Fraction of the burst below which calls are also charged to the host bucket.
+// Fraction of the burst below which a host admits no call by itself.
 constexpr double kFleetBucketFloor = 0.05;
 // Fraction of the burst that the fleet bucket must hold for a new program.
 constexpr double kProgramAdmissionFloor = 0.45;
@@ -28,19 +30,13 @@
 // When more programs than this are counted, the counts behind the average are
 // halved, so that older programs weigh less.
 constexpr double kHalvingPrograms = 60;
-// Capacity of all host buckets together, as a fraction of the burst.
-constexpr double kHostBurstFraction = 0.2;
-// Factor on the refill rate of the host bucket while the fleet bucket is
-// negative.
-constexpr double kOverdrawnRateFactor = 0.5;
 // Calls per second; a lower demand is not reported. A single call decays to
 // this within 3 s.
 constexpr double kMinReportedDemand = 0.05;
 // An organisation is reported for this long after its last new program.
 constexpr Millis kProgramReportPeriod(3000);
-// Demand added for every host, as a fraction of its equal share of the rate, so
-// that hosts without calls keep a share.
-constexpr double kBaseDemandFraction = 0.1;
+// The reachable members are counted again after this time.
+constexpr Millis kReachableCacheTime(50);
 
 double
 SecondsBetween(TimePoint aFrom, TimePoint aTo)
@@ -48,6 +44,14 @@
   return std::max(0.0, std::chrono::duration<double>(aTo - aFrom).count());
 }
 
+uint64_t
+RendezvousRank(uint64_t aOrganisationHash, uint64_t aHostHash)
+{
+  const std::array<uint64_t, 2> hashes = { aOrganisationHash, aHostHash };
+  return StableHash(std::string_view(
+    reinterpret_cast<const char*>(hashes.data()), sizeof hashes));
+}
+
 } // namespace
 
 FleetQuota::FleetQuota(std::string aOwnHost,
@@ -56,27 +60,33 @@
   : ownHost(std::move(aOwnHost))
   , startTime(aStartTime)
   , slack(aSlack)
-  , members{ this->ownHost }
+  , ownHash(StableHash(this->ownHost))
+  , members{ { this->ownHost, this->ownHash } }
+  , random(StableHash(this->ownHost) ^ aStartTime)
 {
 }
 
 void
-FleetQuota::SetMembers(const std::vector<std::string>& aHosts)
+FleetQuota::SetMembers(const std::vector<std::string>& aHosts,
+                       Millis aReportPeriod)
 {
   std::set<std::string> hosts(aHosts.begin(), aHosts.end());
   hosts.insert(this->ownHost);
-  this->members.assign(hosts.begin(), hosts.end());
+  this->members.clear();
+  for (const std::string& host : hosts) {
+    this->members.push_back({ host, StableHash(host) });
+  }
+  this->reportPeriod = aReportPeriod;
+  this->reachableAt = TimePoint{};
 }
 
 double
-FleetQuota::BurstWithSlack(QuotaCap aCap) const
+FleetQuota::SlackCalls(const QuotaCap& aCap) const
 {
   const double seconds =
     std::chrono::duration<double>(this->slack.window).count();
   const double callsInWindow = aCap.ratePerSecond * seconds + aCap.burst;
-  return aCap.burst +
-         kBurstSlackFraction *
-           (callsInWindow * this->slack.overage + this->slack.tolerance);
+  return callsInWindow * this->slack.overage + this->slack.tolerance;
 }
 
 void
@@ -85,17 +95,20 @@
                    bool aStartFull,
                    TimePoint aNow)
 {
-  aCap.burst = this->BurstWithSlack(aCap);
+  const double slackCalls = this->SlackCalls(aCap);
+  aCap.burst += kBurstSlackFraction * slackCalls;
   const uint64_t hash = OrganisationHash(aOrganisation);
   const bool isNew = this->organisations.count(hash) == 0;
   OrganisationState& state = this->organisations[hash];
+  state.localAllowance = (1 - kBurstSlackFraction) * slackCalls;
   if (isNew) {
     state.refilledAt = aNow;
     state.demandAt = aNow;
+    state.localFrom = aStartFull ? aNow : aNow + this->slack.window;
     state.fleetBucket = aStartFull ? aCap.burst : 0;
     state.reservationBucket = state.fleetBucket;
   } else {
-    this->Refill(hash, state, aNow);
+    this->Refill(state, aNow);
   }
   state.cap = aCap;
   state.fleetBucket = std::min(state.fleetBucket, aCap.burst);
@@ -116,6 +129,43 @@
   }
 }
 
+void
+FleetQuota::ChargePeerCalls(OrganisationState& aState,
+                            const QuotaReport& aLast,
+                            const QuotaReport& aReport,
+                            uint64_t& aUnreportedGrants,
+                            TimePoint aNow)
+{
+  this->Refill(aState, aNow);
+  const uint64_t calls = aReport.admittedCalls - aLast.admittedCalls;
+  const uint64_t alreadyCharged = std::min(calls, aUnreportedGrants);
+  aUnreportedGrants -= alreadyCharged;
+  aState.fleetBucket -= static_cast<double>(calls - alreadyCharged);
+  aState.reservationBucket -= aReport.reservedCalls - aLast.reservedCalls;
+  CountUsage(
+    aState,
+    static_cast<double>(calls),
+    static_cast<double>(aReport.admittedPrograms - aLast.admittedPrograms));
+}
+
+QuotaReport
+FleetQuota::Baseline(const Peer& aPeer,
+                     bool aHeardBefore,
+                     const QuotaReport& aReport)
+{
+  if (aPeer.startedLater) {
+    return QuotaReport{};
+  }
+  QuotaReport baseline = aReport;
+  if (aHeardBefore) {
+    // The organisation had no recent calls at the peer when it last reported.
+    const auto recent = static_cast<uint64_t>(std::ceil(
+      aReport.demand * std::chrono::duration<double>(kDemandWindow).count()));
+    baseline.admittedCalls -= std::min(baseline.admittedCalls, recent);
+  }
+  return baseline;
+}
+
 void
 FleetQuota::OnPeerReport(const std::string& aHost,
                          uint64_t aStartTime,
@@ -124,37 +174,29 @@
 {
   const bool known = this->peers.count(aHost) > 0;
   Peer& peer = this->peers[aHost];
-  const bool sameProcess = known && peer.startTime == aStartTime;
-  // The first report of a peer that started before this host is only a
-  // baseline: the fleet bucket started empty, so its earlier calls are not
-  // charged.
-  const bool countFromZero =
-    !sameProcess && (known || aStartTime > this->startTime);
+  UnreportedGrants& grants = this->unreportedGrants[aHost];
+  const bool restarted = known && peer.startTime != aStartTime;
+  if (restarted) {
+    peer.reports.clear();
+    grants.clear();
+  }
+  if (restarted || !known) {
+    peer.startedLater = restarted || aStartTime > this->startTime;
+  }
   for (const auto& entry : aReports) {
     auto organisation = this->organisations.find(entry.first);
     if (organisation == this->organisations.end()) {
       continue;
     }
     auto previous = peer.reports.find(entry.first);
-    const bool hasPrevious = sameProcess && previous != peer.reports.end();
-    const QuotaReport last = hasPrevious ? previous->second : QuotaReport{};
-    if ((sameProcess || countFromZero) &&
-        entry.second.admittedCalls >= last.admittedCalls) {
-      this->Refill(entry.first, organisation->second, aNow);
-      const double admitted =
-        static_cast<double>(entry.second.admittedCalls - last.admittedCalls);
-      organisation->second.fleetBucket -= admitted;
-      organisation->second.reservationBucket -=
-        entry.second.reservedCalls - last.reservedCalls;
-      CountUsage(organisation->second,
-                 admitted,
-                 static_cast<double>(entry.second.admittedPrograms -
-                                     last.admittedPrograms));
+    const bool hasPrevious = previous != peer.reports.end();
+    const QuotaReport last =
+      hasPrevious ? previous->second : Baseline(peer, known, entry.second);
+    if (entry.second.admittedCalls >= last.admittedCalls) {
+      this->ChargePeerCalls(
+        organisation->second, last, entry.second, grants[entry.first], aNow);
     }
   }
-  if (!sameProcess) {
-    peer.reports.clear();
-  }
   for (auto& entry : peer.reports) {
     entry.second.demand = 0;
   }
@@ -165,16 +207,27 @@
   peer.reportedAt = aNow;
 }
 
+Millis
+FleetQuota::ReportTimeout() const
+{
+  return std::max(kMinReportTimeout, kMissedReports * this->reportPeriod);
+}
+
+bool
+FleetQuota::IsReachable(const std::string& aHost, TimePoint aNow) const
+{
+  auto peer = this->peers.find(aHost);
+  return peer != this->peers.end() &&
+         aNow - peer->second.reportedAt <= this->ReportTimeout();
+}
+
 size_t
 FleetQuota::ReachableMembers(TimePoint aNow) const
 {
   size_t reachable = 1;
-  for (const std::string& member : this->members) {
-    auto peer = this->peers.find(member);
-    if (member != this->ownHost && peer != this->peers.end() &&
-        aNow - peer->second.reportedAt <= kReportTimeout) {
-      ++reachable;
-    }
+  for (const Member& member : this->members) {
+    const bool isPeer = member.host != this->ownHost;
+    reachable += isPeer && this->IsReachable(member.host, aNow) ? 1 : 0;
   }
   return reachable;
 }
@@ -182,29 +235,33 @@
 double
 FleetQuota::ReachableFraction(TimePoint aNow) const
 {
-  const double reachable = static_cast<double>(this->ReachableMembers(aNow));
-  return std::min(1.0, reachable / static_cast<double>(this->members.size()));
+  if (this->reachableAt == TimePoint{} ||
+      aNow - this->reachableAt >= kReachableCacheTime) {
+    const double reachable = static_cast<double>(this->ReachableMembers(aNow));
+    this->reachableFraction =
+      std::min(1.0, reachable / static_cast<double>(this->members.size()));
+    this->reachableAt = aNow;
+  }
+  return this->reachableFraction;
 }
 
-double
-FleetQuota::DemandShare(uint64_t aHash,
-                        const OrganisationState& aState,
-                        TimePoint aNow) const
-{
-  const double reachable = static_cast<double>(this->ReachableMembers(aNow));
-  const double base =
-    aState.cap.ratePerSecond * kBaseDemandFraction / reachable;
-  const double own = DemandAt(aState, aNow) + base;
-  double total = own;
-  for (const auto& peer : this->peers) {
-    if (aNow - peer.second.reportedAt > kReportTimeout) {
+std::string
+FleetQuota::FindOwner(uint64_t aHash, TimePoint aNow) const
+{
+  std::string owner = this->ownHost;
+  uint64_t highest = RendezvousRank(aHash, this->ownHash);
+  for (const Member& member : this->members) {
+    const uint64_t rank = RendezvousRank(aHash, member.hash);
+    if (rank <= highest || !this->IsReachable(member.host, aNow)) {
       continue;
     }
-    auto report = peer.second.reports.find(aHash);
-    total += base;
-    total += report == peer.second.reports.end() ? 0 : report->second.demand;
+    auto suspected = this->suspectUntil.find(member.host);
+    if (suspected == this->suspectUntil.end() || aNow >= suspected->second) {
+      highest = rank;
+      owner = member.host;
+    }
   }
-  return total > 0 ? own / total : 1 / reachable;
+  return owner;
 }
 
 FleetQuota::OrganisationState*
@@ -215,7 +272,7 @@
 }
 
 void
-FleetQuota::Refill(uint64_t aHash, OrganisationState& aState, TimePoint aNow)
+FleetQuota::Refill(OrganisationState& aState, TimePoint aNow)
 {
   const double seconds = SecondsBetween(aState.refilledAt, aNow);
   if (seconds <= 0) {
@@ -228,11 +285,6 @@
   aState.fleetBucket = std::min(burst, aState.fleetBucket + seconds * rate);
   aState.reservationBucket =
     std::min(burst, aState.reservationBucket + seconds * rate);
-  const double share = this->DemandShare(aHash, aState, aNow);
-  const double rateFactor = aState.fleetBucket < 0 ? kOverdrawnRateFactor : 1;
-  const double capacity = std::max(1.0, burst * kHostBurstFraction * share);
-  aState.hostBucket =
-    std::min(capacity, aState.hostBucket + seconds * rate * share * rateFactor);
 }
 
 double
@@ -273,7 +325,7 @@
     return true;
   }
   OrganisationState& state = *found;
-  this->Refill(OrganisationHash(aOrganisation), state, aNow);
+  this->Refill(state, aNow);
   const double burst = state.cap.burst * this->ReachableFraction(aNow);
   const double calls = CallsPerProgram(state);
   const double needed = std::min(calls, burst * kMaxReservationFraction);
@@ -294,11 +346,87 @@
 }
 
 bool
+FleetQuota::ChargeFleetBucket(OrganisationState& aState, TimePoint aNow)
+{
+  this->Refill(aState, aNow);
+  if (aState.fleetBucket < 1) {
+    return false;
+  }
+  aState.fleetBucket -= 1;
+  return true;
+}
+
+size_t
+FleetQuota::LocalShare(const OrganisationState& aState) const
+{
+  return static_cast<size_t>(aState.localAllowance /
+                             static_cast<double>(this->members.size()));
+}
+
+bool
+FleetQuota::AdmitLocally(OrganisationState& aState, TimePoint aNow)
+{
+  std::deque<TimePoint>& localCalls = aState.localCalls;
+  while (!localCalls.empty() &&
+         aNow - localCalls.front() >= this->reportPeriod) {
+    localCalls.pop_front();
+  }
+  this->Refill(aState, aNow);
+  const double floor =
+    aState.cap.burst * this->ReachableFraction(aNow) * kFleetBucketFloor;
+  if (aNow < aState.localFrom ||
+      localCalls.size() >= this->LocalShare(aState) ||
+      aState.fleetBucket < floor + 1) {
+    return false;
+  }
+  localCalls.push_back(aNow);
+  aState.fleetBucket -= 1;
+  return true;
+}
+
+bool
+FleetQuota::AdmitFromShare(OrganisationState& aState, TimePoint aNow)
+{
+  const double members = static_cast<double>(this->members.size());
+  const double rate = aState.cap.ratePerSecond / members;
+  const double capacity = std::max(1.0, aState.cap.burst / members);
+  if (!aState.shareBucket) {
+    std::uniform_real_distribution<double> level(0, 1);
+    aState.shareBucket = level(this->random);
+    aState.shareRefilledAt = aNow;
+  }
+  const double seconds = SecondsBetween(aState.shareRefilledAt, aNow);
+  aState.shareRefilledAt = aNow;
+  aState.shareBucket = std::min(capacity, *aState.shareBucket + seconds * rate);
+  if (*aState.shareBucket < 1) {
+    return false;
+  }
+  *aState.shareBucket -= 1;
+  return true;
+}
+
+QuotaDecision
+FleetQuota::DecideOrAsk(uint64_t aHash,
+                        OrganisationState& aState,
+                        TimePoint aNow)
+{
+  const std::string owner = this->FindOwner(aHash, aNow);
+  if (owner != this->ownHost) {
+    return { QuotaVerdict::kAskOwner, owner };
+  }
+  if (!this->ChargeFleetBucket(aState, aNow)) {
+    return { QuotaVerdict::kRefused, "" };
+  }
+  CountAdmitted(aState);
+  return { QuotaVerdict::kAdmitted, "" };
+}
+
+QuotaDecision
 FleetQuota::AdmitCall(const std::string& aOrganisation, TimePoint aNow)
 {
   OrganisationState* found = this->Find(aOrganisation);
   if (found == nullptr) {
-    return true;
+    return { QuotaVerdict::kAdmitted, "" };
   }
   OrganisationState& state = *found;
   const double window = std::chrono::duration<double>(kDemandWindow).count();
@@ -306,22 +434,74 @@
   state.demandAt = aNow;
   if (state.cap.ratePerSecond <= 0) {
     ++state.admittedCalls;
-    return true;
+    return { QuotaVerdict::kAdmitted, "" };
   }
-  this->Refill(OrganisationHash(aOrganisation), state, aNow);
-  const double burst = state.cap.burst * this->ReachableFraction(aNow);
-  if (state.fleetBucket < burst * kFleetBucketFloor + 1) {
-    if (state.hostBucket < 1) {
-      return false;
-    }
-    state.hostBucket -= 1;
+  if (this->AdmitLocally(state, aNow)) {
+    CountAdmitted(state);
+    return { QuotaVerdict::kAdmitted, "" };
+  }
+  return this->DecideOrAsk(OrganisationHash(aOrganisation), state, aNow);
+}
+
+void
+FleetQuota::OnGranted(const std::string& aOrganisation, TimePoint aNow)
+{
+  OrganisationState* state = this->Find(aOrganisation);
+  if (state == nullptr) {
+    return;
+  }
+  this->Refill(*state, aNow);
+  state->fleetBucket -= 1;
+  state->shareBucket.reset();
+  CountAdmitted(*state);
+}
+
+QuotaDecision
+FleetQuota::AdmitAfterSilence(const std::string& aOrganisation,
+                              const std::string& aOwner,
+                              int aAsks,
+                              TimePoint aNow)
+{
+  this->suspectUntil[aOwner] = aNow + kSuspicionDuration;
+  OrganisationState* state = this->Find(aOrganisation);
+  if (state == nullptr) {
+    return { QuotaVerdict::kRefused, "" };
+  }
+  if (aAsks < kMaxAsks) {
+    return this->DecideOrAsk(OrganisationHash(aOrganisation), *state, aNow);
+  }
+  if (!this->AdmitFromShare(*state, aNow)) {
+    return { QuotaVerdict::kRefused, "" };
   }
-  state.fleetBucket -= 1;
-  ++state.admittedCalls;
-  CountUsage(state, 1, 0);
+  state->fleetBucket -= 1;
+  CountAdmitted(*state);
+  return { QuotaVerdict::kAdmitted, "" };
+}
+
+std::optional<bool>
+FleetQuota::AdmitForPeer(uint64_t aOrganisationHash,
+                         const std::string& aHost,
+                         TimePoint aNow)
+{
+  auto found = this->organisations.find(aOrganisationHash);
+  if (found == this->organisations.end()) {
+    return std::nullopt;
+  }
+  const bool limited = found->second.cap.ratePerSecond > 0;
+  if (limited && !this->ChargeFleetBucket(found->second, aNow)) {
+    return false;
+  }
+  ++this->unreportedGrants[aHost][aOrganisationHash];
   return true;
 }
 
+void
+FleetQuota::CountAdmitted(OrganisationState& aState)
+{
+  ++aState.admittedCalls;
+  CountUsage(aState, 1, 0);
+}
+
 void
 FleetQuota::RefundCall(const std::string& aOrganisation)
 {
@@ -362,11 +542,10 @@
   auto found = this->organisations.find(hash);
   if (found != this->organisations.end()) {
     status.fleetBucket = found->second.fleetBucket;
-    status.hostBucket = found->second.hostBucket;
     status.reservationBucket = found->second.reservationBucket;
     status.callsPerProgram = CallsPerProgram(found->second);
     status.ratePerSecond = found->second.cap.ratePerSecond;
-    status.demandShare = this->DemandShare(hash, found->second, aNow);
+    status.owner = this->FindOwner(hash, aNow);
   }
   return status;
 }
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -2,37 +2,54 @@
 // without a coordinator.
 //
 //   FleetQuota quota("host-1", startTime, { Millis(5000), 0.1, 20 });
-//   quota.SetMembers({ "host-1", "host-2" });
+//   quota.SetMembers({ "host-1", "host-2" }, Millis(100));
 //   quota.SetCap("ski-club", { 155, 155 }, false, now);
 //   quota.OnPeerReport("host-2", startTime2, reports, now);
 //   if (!quota.AdmitProgram("ski-club", now)) { ... refuse the program ... }
-//   if (!quota.AdmitCall("ski-club", now)) { ... refuse the call ... }
+//   const QuotaDecision decision = quota.AdmitCall("ski-club", now);
+//   if (decision.verdict == QuotaVerdict::kAskOwner) {
+//     // At decision.owner: AdmitForPeer(OrganisationHash("ski-club"), ...)
+//     // Here, then: OnGranted, or OnOwnerSilent and AdmitAfterSilence
+//   }
 //
 // Fleet bucket: hosts periodically report, for each organisation, how many
-// calls they have admitted since they started and their current demand. Each
-// host keeps its own replica of one token bucket for the whole fleet, which is
-// refilled at the organisation's rate up to its burst and charged with the
-// calls of all hosts. While the bucket is above a floor, a call is admitted at
-// whichever host it arrives, so an organisation with a small cap can use all of
-// it at any host.
+// calls they have admitted since they started. Each host keeps its own replica
+// of one token bucket for the whole fleet, which is refilled at the
+// organisation's rate up to its burst and charged with the calls of all hosts.
 //
-// Host bucket: the replicas are as stale as the last reports. Below the floor
-// each host therefore also charges a small bucket of its own, which is refilled
-// at the host's share of the rate, in proportion to its share of the demand.
+// Quota owner: the replicas are as stale as the last reports, so hosts that all
+// admitted calls from their own replica would together admit more than the
+// bucket holds. Rendezvous hashing assigns each organisation an owner among the
+// members that report: a host asks it for each call, and it decides from its
+// replica. Between two reports a host admits only its part of the local
+// allowance by itself, which saves small fleets most of the messages and is
+// less than one call in large ones.
 //
-// Bound: burst + rate x time, plus the calls that all hosts admit between two
-// reports while the fleet bucket is above its floor. The bucket then becomes
-// negative, and that debt is paid by later calls.
+// Ownership is not exclusive. An owner's replica is charged with the calls that
+// others granted once they are reported, so hosts that disagree about the owner
+// overdraw the bucket by the calls between two reports.
 //
-// Partitions: a member without a report for kReportTimeout is assumed to use an
-// equal share of rate and burst, and the members that reach each other divide
-// the rest. So each side of a partition stays within its own share.
+// Restart: a host forgets the debt of the buckets, which may be as large as the
+// local allowance. It therefore asks for each call until one window has passed
+// since its start.
+//
+// Silent owner: the host asks the next member by rendezvous. After kMaxAsks it
+// admits calls at the rate of an equal share of the members. That bucket starts
+// at a random level below one call, so hosts that begin to use it at once admit
+// no more together than the organisation's rate.
+//
+// Bound: burst + rate x time + the local allowance of all hosts. The bucket
+// then becomes negative, and that debt is paid by later calls.
+//
+// Partitions: a member without a report for longer than the report timeout is
+// assumed to use an equal share of rate and burst, and the members that reach
+// each other divide the rest. So each side of a partition stays within its own
+// share.
 //
 // Slack: the bound on an organisation's use within a window (QuotaSlack)
-// exceeds rate x window + burst, to allow for the delay of reports between
-// hosts. Half of the excess is added to the burst, so that calls within the cap
-// are not refused because of those delays; the other half covers what hosts
-// admit before they learn of each other's calls.
+// exceeds rate x window + burst. Half of the excess is added to the burst, so
+// that calls within the cap are not refused because of delays between hosts;
+// the other half is the local allowance.
 //
 // Program admission: admitting a program reserves as many calls as programs of
 // its organisation have needed on average, from a second fleet-wide bucket of
@@ -40,12 +57,14 @@
 // organisation with a demand of several times its rate gets its rate in
 // programs that finish.
 //
-// Complexity: admission is linear in the number of hosts; a report is linear in
-// its organisations times hosts.
+// Complexity: choosing an owner is linear in the number of hosts, a report in
+// its organisations.
 #ifndef TANAGERSEAM_QUOTA_QUOTA_H_
 #define TANAGERSEAM_QUOTA_QUOTA_H_
 
-#include <map>
+#include <deque>
+#include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -93,17 +112,30 @@
 // By OrganisationHash.
 using QuotaReports = std::unordered_map<uint64_t, QuotaReport>;
 
+enum class QuotaVerdict
+{
+  kAdmitted,
+  kRefused,
+  // The owner decides.
+  kAskOwner,
+};
+
+struct QuotaDecision
+{
+  QuotaVerdict verdict = QuotaVerdict::kRefused;
+  // Host to ask; empty unless the verdict is kAskOwner.
+  std::string owner;
+};
+
 // The state behind an admission decision, for logs.
 struct QuotaStatus
 {
   // Calls left in the buckets.
   double fleetBucket = 0;
-  double hostBucket = 0;
   double reservationBucket = 0;
   double callsPerProgram = 0;
   double ratePerSecond = 0;
-  // This host's share of the demand.
-  double demandShare = 0;
+  std::string owner;
   size_t reachableMembers = 0;
   size_t members = 0;
 };
@@ -111,16 +143,23 @@
 class FleetQuota
 {
 public:
-  // A member without a report for longer counts as unreachable.
-  static constexpr Millis kReportTimeout{ 2000 };
+  // A member without a report for longer counts as unreachable. Applies where
+  // it is longer than kMissedReports report periods.
+  static constexpr Millis kMinReportTimeout{ 2000 };
+  static constexpr int kMissedReports = 3;
+  // An owner that did not answer is not asked again for this long.
+  static constexpr Millis kSuspicionDuration{ 1000 };
+  // Owners that are asked for one call.
+  static constexpr int kMaxAsks = 2;
   // Time constant of the exponential average of demand.
   static constexpr Millis kDemandWindow{ 1000 };
 
   // aStartTime: start of this process, comparable with that of peers.
   FleetQuota(std::string aOwnHost, uint64_t aStartTime, QuotaSlack aSlack);
 
-  // All members of the fleet. This host is added if it is missing.
-  void SetMembers(const std::vector<std::string>& aHosts);
+  // All members of the fleet; this host is added if it is missing. A host gets
+  // the report of another one every aReportPeriod.
+  void SetMembers(const std::vector<std::string>& aHosts, Millis aReportPeriod);
   // aStartFull: buckets of a new organisation start full. Only valid when the
   // whole fleet starts: otherwise the recent use is unknown.
   void SetCap(const std::string& aOrganisation,
@@ -136,8 +175,21 @@
                     const QuotaReports& aReports,
                     TimePoint aNow);
 
-  // Charges one call to the buckets. False if the call is refused.
-  bool AdmitCall(const std::string& aOrganisation, TimePoint aNow);
+  // Decides about one call. An admitted call is charged to the fleet bucket.
+  QuotaDecision AdmitCall(const std::string& aOrganisation, TimePoint aNow);
+  // The owner that AdmitCall named has admitted the call.
+  void OnGranted(const std::string& aOrganisation, TimePoint aNow);
+  // The owner did not answer. Decides again; aAsks is the number of owners
+  // asked so far.
+  QuotaDecision AdmitAfterSilence(const std::string& aOrganisation,
+                                  const std::string& aOwner,
+                                  int aAsks,
+                                  TimePoint aNow);
+  // Decides about a call at aHost as its organisation's owner. Nothing for an
+  // organisation that is not known here.
+  std::optional<bool> AdmitForPeer(uint64_t aOrganisationHash,
+                                   const std::string& aHost,
+                                   TimePoint aNow);
   // Reserves calls for a new program. False if the program is refused.
   bool AdmitProgram(const std::string& aOrganisation, TimePoint aNow);
   // Refunds an admitted call that was not executed.
@@ -152,11 +204,20 @@
 private:
   struct OrganisationState
   {
-    // With the slack added to the burst.
+    // With a part of the slack added to the burst.
     QuotaCap cap;
+    // Calls that all hosts together may admit by themselves.
+    double localAllowance = 0;
     // Calls left in this host's replica of the fleet bucket; may be negative.
     double fleetBucket = 0;
-    double hostBucket = 0;
+    // No call is admitted by this host alone before this time.
+    TimePoint localFrom{};
+    // When this host admitted calls alone, within the last report period.
+    std::deque<TimePoint> localCalls;
+    // Bucket of this host's equal share, in use since the last owner was
+    // silent.
+    std::optional<double> shareBucket;
+    TimePoint shareRefilledAt{};
     // Calls that can still be reserved for new programs; may be negative.
     double reservationBucket = 0;
     TimePoint refilledAt{};
@@ -176,31 +237,75 @@
   struct Peer
   {
     uint64_t startTime = 0;
+    // The peer started after this host, so all its calls are charged.
+    bool startedLater = false;
     QuotaReports reports;
     TimePoint reportedAt{};
   };
+  // Calls that this host granted to a peer as an owner and has charged, but has
+  // not seen in the peer's reports; by OrganisationHash.
+  using UnreportedGrants = std::unordered_map<uint64_t, uint64_t>;
+  struct Member
+  {
+    std::string host;
+    uint64_t hash = 0;
+  };
 
-  // The burst with the part of the slack that is added to it.
-  double BurstWithSlack(QuotaCap aCap) const;
+  // The calls that an organisation may use in a window beyond its cap.
+  double SlackCalls(const QuotaCap& aCap) const;
   static double CallsPerProgram(const OrganisationState& aState);
+  static void CountAdmitted(OrganisationState& aState);
   static void CountUsage(OrganisationState& aState,
                          double aCalls,
                          double aPrograms);
   OrganisationState* Find(const std::string& aOrganisation);
-  void Refill(uint64_t aHash, OrganisationState& aState, TimePoint aNow);
+  void Refill(OrganisationState& aState, TimePoint aNow);
+  // Charges a call to the fleet bucket; false if it is empty.
+  bool ChargeFleetBucket(OrganisationState& aState, TimePoint aNow);
+  // Admits a call within this host's part of the local allowance.
+  bool AdmitLocally(OrganisationState& aState, TimePoint aNow);
+  // Admits a call from this host's equal share of the rate.
+  bool AdmitFromShare(OrganisationState& aState, TimePoint aNow);
+  QuotaDecision DecideOrAsk(uint64_t aHash,
+                            OrganisationState& aState,
+                            TimePoint aNow);
+  // What a peer had admitted before this host's buckets started, if its report
+  // names an organisation for the first time.
+  static QuotaReport Baseline(const Peer& aPeer,
+                              bool aHeardBefore,
+                              const QuotaReport& aReport);
+  // Records the calls that a peer has admitted since its last report.
+  void ChargePeerCalls(OrganisationState& aState,
+                       const QuotaReport& aLast,
+                       const QuotaReport& aReport,
+                       uint64_t& aUnreportedGrants,
+                       TimePoint aNow);
+  // The reachable member that owns the organisation's quota; may be this host.
+  std::string FindOwner(uint64_t aHash, TimePoint aNow) const;
+  Millis ReportTimeout() const;
+  bool IsReachable(const std::string& aHost, TimePoint aNow) const;
+  // This host's part of the local allowance, in whole calls per report period.
+  size_t LocalShare(const OrganisationState& aState) const;
   // Fraction of the members that are reachable.
   double ReachableFraction(TimePoint aNow) const;
-  // This host's fraction of the demand at all reachable hosts.
-  double DemandShare(uint64_t aHash,
-                     const OrganisationState& aState,
-                     TimePoint aNow) const;
   static double DemandAt(const OrganisationState& aState, TimePoint aNow);
 
   std::string ownHost;
   uint64_t startTime;
   QuotaSlack slack;
-  std::vector<std::string> members;
+  uint64_t ownHash;
+  // Includes this host.
+  std::vector<Member> members;
+  Millis reportPeriod{ 100 };
   std::unordered_map<std::string, Peer> peers;
+  // By host.
+  std::unordered_map<std::string, UnreportedGrants> unreportedGrants;
+  std::unordered_map<std::string, TimePoint> suspectUntil;
+  // Result of ReachableFraction as of reachableAt.
+  mutable double reachableFraction = 1;
+  mutable TimePoint reachableAt{};
+  // Draws the first level of share buckets; seeded by the host's name.
+  std::mt19937_64 random;
   // By OrganisationHash.
   std::unordered_map<uint64_t, OrganisationState> organisations;
 };
--- a/quota/testing/quota_test.cc
+++ b/quota/testing/quota_test.cc
@@ -3,147 +3,12 @@
 // restarts stay within the cap, and admitted programs can finish.
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <deque>
-#include <random>
-
-#include "quota/quota.h"
+#include "quota/testing/simulated_fleet.h"
 
 namespace tanagerseam {
 namespace {
 
-const std::string kOrganisation = "club";
-constexpr int kReportIntervalMillis = 100;
-constexpr int kWindowMillis = 5000;
-// Allowed use beyond rate x window + burst; see QuotaSlack.
-constexpr double kOverage = 0.1;
-constexpr double kTolerance = 20;
-
-TimePoint
-At(int64_t aMillis)
-{
-  return TimePoint{} + std::chrono::hours(1) + Millis(aMillis);
-}
-
-// Simulates the hosts and their reports, and records all admitted calls.
-class SimulatedFleet
-{
-public:
-  SimulatedFleet(int aHosts, QuotaCap aCap, bool aStartFull = true)
-    : cap(aCap)
-  {
-    for (int i = 0; i < aHosts; ++i) {
-      this->names.push_back("host-" + std::to_string(i));
-      this->startTimes.push_back(1);
-      this->inMajority.push_back(true);
-    }
-    for (int i = 0; i < aHosts; ++i) {
-      this->hosts.push_back(this->NewHost(i, aStartFull, 0));
-    }
-  }
-
-  FleetQuota NewHost(int aHost, bool aStartFull, int64_t aNow)
-  {
-    const QuotaSlack slack{ Millis(kWindowMillis), kOverage, kTolerance };
-    FleetQuota quota(this->names[aHost], this->startTimes[aHost], slack);
-    quota.SetMembers(this->names);
-    quota.SetCap(kOrganisation, this->cap, aStartFull, At(aNow));
-    return quota;
-  }
-
-  void Restart(int aHost, int64_t aNow)
-  {
-    this->startTimes[aHost] = static_cast<uint64_t>(aNow);
-    this->hosts[aHost] = this->NewHost(aHost, false, aNow);
-  }
-
-  void SetCap(QuotaCap aCap, int64_t aNow)
-  {
-    this->cap = aCap;
-    for (FleetQuota& host : this->hosts) {
-      host.SetCap(kOrganisation, aCap, false, At(aNow));
-    }
-  }
-
-  void ExchangeReports(int64_t aNow)
-  {
-    for (size_t from = 0; from < this->hosts.size(); ++from) {
-      const auto reports = this->hosts[from].OwnReports(At(aNow));
-      for (size_t to = 0; to < this->hosts.size(); ++to) {
-        if (from != to && this->inMajority[from] == this->inMajority[to]) {
-          this->hosts[to].OnPeerReport(
-            this->names[from], this->startTimes[from], reports, At(aNow));
-        }
-      }
-    }
-  }
-
-  bool AdmitCall(int aHost, int64_t aNow)
-  {
-    const bool admitted = this->hosts[aHost].AdmitCall(kOrganisation, At(aNow));
-    if (admitted) {
-      this->admittedAt.push_back(aNow);
-    }
-    return admitted;
-  }
-
-  // Sends aCallsPerSecond calls on average, in groups of aGroupSize, each to a
-  // random host; returns the fraction refused.
-  double Run(int64_t aFrom,
-             int64_t aTo,
-             double aCallsPerSecond,
-             int aGroupSize = 1)
-  {
-    int total = 0;
-    int refused = 0;
-    std::uniform_int_distribution<int> host(
-      0, static_cast<int>(this->hosts.size()) - 1);
-    std::poisson_distribution<int> groups(aCallsPerSecond / aGroupSize / 1000);
-    for (int64_t now = aFrom; now < aTo; ++now) {
-      if (now % kReportIntervalMillis == 0) {
-        this->ExchangeReports(now);
-      }
-      for (int i = groups(this->random) * aGroupSize; i > 0; --i) {
-        ++total;
-        refused += this->AdmitCall(host(this->random), now) ? 0 : 1;
-      }
-    }
-    return total == 0 ? 0 : static_cast<double>(refused) / total;
-  }
-
-  // The most calls admitted in any window that starts at aFromMillis or later.
-  size_t MaxCallsInWindow(int64_t aFromMillis = 0) const
-  {
-    std::deque<int64_t> window;
-    size_t most = 0;
-    for (int64_t at : this->admittedAt) {
-      if (at < aFromMillis) {
-        continue;
-      }
-      window.push_back(at);
-      while (window.front() <= at - kWindowMillis) {
-        window.pop_front();
-      }
-      most = std::max(most, window.size());
-    }
-    return most;
-  }
-
-  static double Bound(QuotaCap aCap)
-  {
-    const double seconds = kWindowMillis / 1000.0;
-    return (aCap.ratePerSecond * seconds + aCap.burst) * (1 + kOverage) +
-           kTolerance;
-  }
-
-  QuotaCap cap;
-  std::vector<std::string> names;
-  std::vector<uint64_t> startTimes;
-  std::vector<bool> inMajority;
-  std::vector<FleetQuota> hosts;
-  std::vector<int64_t> admittedAt;
-  std::mt19937 random{ 7 };
-};
+using namespace testing_support;
 
 TEST(FleetQuotaTest, AdmitsSmallOrganisationWithinItsCap)
 {
@@ -253,7 +118,117 @@
 {
   SimulatedFleet fleet(3, QuotaCap{ 0, 0 });
   EXPECT_EQ(fleet.Run(0, 2000, 1000), 0);
-  EXPECT_TRUE(fleet.hosts[0].AdmitCall("unknown", At(2000)));
+  EXPECT_EQ(fleet.hosts[0].AdmitCall("unknown", At(2000)).verdict,
+            QuotaVerdict::kAdmitted);
+}
+
+// The hosts of a large fleet hear each other every few report intervals only.
+class LargeFleetQuotaTest : public ::testing::TestWithParam<int>
+{
+protected:
+  static constexpr int kGroupSize = 6;
+  // All hosts have heard each other by then.
+  static constexpr int kWarmUpMillis = 2500;
+};
+
+TEST_P(LargeFleetQuotaTest, KeepsCapWithoutRefusalsOnAQuietDay)
+{
+  for (const QuotaCap cap : { QuotaCap{ 7, 7 }, QuotaCap{ 26, 26 } }) {
+    SCOPED_TRACE(cap.ratePerSecond);
+    SimulatedFleet fleet(GetParam(), cap);
+    fleet.Run(0, kWarmUpMillis, 0);
+    const double load = cap.ratePerSecond * 0.7;
+    const double refused =
+      fleet.Run(kWarmUpMillis, kWarmUpMillis + 15000, load, kGroupSize);
+    const double unavoidable = fleet.refusedByOneBucket / (load * 15);
+    EXPECT_LE(refused, unavoidable + 0.01);
+    EXPECT_LE(fleet.MaxCallsInWindow(), SimulatedFleet::Bound(cap));
+  }
+}
+
+TEST_P(LargeFleetQuotaTest, KeepsCapWhenOneOrganisationSendsManyTimesItsRate)
+{
+  for (const QuotaCap cap : { QuotaCap{ 7, 7 }, QuotaCap{ 26, 26 } }) {
+    SCOPED_TRACE(cap.ratePerSecond);
+    SimulatedFleet fleet(GetParam(), cap);
+    fleet.Run(0, 4000, cap.ratePerSecond * 0.6);
+    fleet.Run(4000, 11000, cap.ratePerSecond * 7.5);
+    EXPECT_LE(fleet.MaxCallsInWindow(), SimulatedFleet::Bound(cap));
+    EXPECT_GE(fleet.admittedAt.size(), cap.ratePerSecond * 7 * 0.8);
+  }
+}
+
+TEST_P(LargeFleetQuotaTest, KeepsCapAfterRestartOfAllHosts)
+{
+  constexpr QuotaCap kCap{ 26, 26 };
+  SimulatedFleet fleet(GetParam(), kCap);
+  fleet.Run(0, 4000, 150);
+  for (int i = 0; i < GetParam(); ++i) {
+    fleet.Restart(i, 4000);
+  }
+  fleet.Run(4000, 16000, 150);
+  EXPECT_LE(fleet.MaxCallsInWindow(), SimulatedFleet::Bound(kCap));
+  EXPECT_GE(fleet.admittedAt.size(), 26 * 10);
+}
+
+TEST_P(LargeFleetQuotaTest, KeepsCapWhileAThirdOfTheHostsIsFrozen)
+{
+  constexpr QuotaCap kCap{ 26, 26 };
+  SimulatedFleet fleet(GetParam(), kCap);
+  fleet.Run(0, 4000, 150);
+  for (int i = 0; i < GetParam() / 3; ++i) {
+    fleet.frozen[i] = true;
+  }
+  fleet.Run(4000, 8000, 150);
+  for (int i = 0; i < GetParam() / 3; ++i) {
+    fleet.frozen[i] = false;
+  }
+  fleet.Run(8000, 12000, 150);
+  EXPECT_LE(fleet.MaxCallsInWindow(), SimulatedFleet::Bound(kCap));
+}
+
+TEST_P(LargeFleetQuotaTest, SilentOwnerCostsNoMoreThanTheRate)
+{
+  constexpr QuotaCap kCap{ 26, 26 };
+  SimulatedFleet fleet(GetParam(), kCap);
+  fleet.Run(0, 10000, 15, kGroupSize);
+  {
+    SCOPED_TRACE("no host hears another");
+    fleet.isolated = true;
+    fleet.Run(10000, 20000, 150);
+    EXPECT_LE(fleet.MaxCallsInWindow(), SimulatedFleet::Bound(kCap));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts,
+                         LargeFleetQuotaTest,
+                         ::testing::Values(79, 295));
+
+// A host that restarted once charged the calls that a peer had admitted over
+// its whole life, when the peer first reported the organisation to it.
+TEST(FleetQuotaTest, RestartedHostIsNotChargedForEarlierCalls)
+{
+  constexpr QuotaCap kCap{ 28, 28 };
+  SimulatedFleet fleet(3, kCap);
+  fleet.Run(0, 60000, 20);
+  fleet.Run(60000, 70000, 0);
+  fleet.Restart(0, 70000);
+  fleet.Run(70000, 72000, 0);
+  const FleetQuota& restarted = fleet.hosts[0];
+  const double before = restarted.Status(kOrganisation, At(72000)).fleetBucket;
+  for (int host = 1; host < 3; ++host) {
+    EXPECT_TRUE(fleet.AdmitCall(host, 72000 + host));
+  }
+  fleet.ExchangeReports(72100);
+  EXPECT_GE(restarted.Status(kOrganisation, At(72100)).fleetBucket, before - 2);
+}
+
+TEST(FleetQuotaTest, SmallFleetAdmitsMostCallsWithoutAsking)
+{
+  constexpr QuotaCap kCap{ 28, 28 };
+  SimulatedFleet fleet(11, kCap);
+  fleet.Run(0, 20000, 17);
+  EXPECT_LT(fleet.asks, fleet.admittedAt.size() / 4);
 }
 
 } // namespace
--- /dev/null
+++ b/quota/testing/simulated_fleet.h
@@ -0,0 +1,239 @@
+// A simulated fleet whose hosts exchange reports with a delay, for tests of one
+// organisation's quota.
+//
+//   SimulatedFleet fleet(79, { 26, 26 });
+//   const double refused = fleet.Run(0, 5000, 18, kGroupSize);
+//   EXPECT_LE(fleet.MaxCallsInWindow(), SimulatedFleet::Bound(fleet.cap));
+#ifndef TANAGERSEAM_QUOTA_TESTING_SIMULATED_FLEET_H_
+#define TANAGERSEAM_QUOTA_TESTING_SIMULATED_FLEET_H_
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include "quota/quota.h"
+
+namespace tanagerseam::testing_support {
+
+inline const std::string kOrganisation = "club";
+constexpr int kReportIntervalMillis = 100;
+// Peers that get one report; see FleetLink.
+constexpr size_t kReportFanOut = 16;
+constexpr int kWindowMillis = 5000;
+// Allowed use beyond rate x window + burst; see QuotaSlack.
+constexpr double kOverage = 0.1;
+constexpr double kTolerance = 20;
+
+inline TimePoint
+At(int64_t aMillis)
+{
+  return TimePoint{} + std::chrono::hours(1) + Millis(aMillis);
+}
+
+// Simulates the hosts and their reports, and records all admitted calls.
+class SimulatedFleet
+{
+public:
+  SimulatedFleet(int aHosts, QuotaCap aCap, bool aStartFull = true)
+    : cap(aCap)
+  {
+    for (int i = 0; i < aHosts; ++i) {
+      this->names.push_back("host-" + std::to_string(i));
+      this->startTimes.push_back(1);
+      this->inMajority.push_back(true);
+      this->frozen.push_back(false);
+    }
+    for (int i = 0; i < aHosts; ++i) {
+      this->hosts.push_back(this->NewHost(i, aStartFull, 0));
+    }
+  }
+
+  FleetQuota NewHost(int aHost, bool aStartFull, int64_t aNow)
+  {
+    const QuotaSlack slack{ Millis(kWindowMillis), kOverage, kTolerance };
+    FleetQuota quota(this->names[aHost], this->startTimes[aHost], slack);
+    quota.SetMembers(this->names, this->ReportPeriod());
+    quota.SetCap(kOrganisation, this->cap, aStartFull, At(aNow));
+    return quota;
+  }
+
+  void Restart(int aHost, int64_t aNow)
+  {
+    this->startTimes[aHost] = static_cast<uint64_t>(aNow);
+    this->hosts[aHost] = this->NewHost(aHost, false, aNow);
+  }
+
+  void SetCap(QuotaCap aCap, int64_t aNow)
+  {
+    this->cap = aCap;
+    for (FleetQuota& host : this->hosts) {
+      host.SetCap(kOrganisation, aCap, false, At(aNow));
+    }
+  }
+
+  size_t ReportRounds() const
+  {
+    const size_t peers = this->names.size() - 1;
+    return std::max<size_t>(1, (peers + kReportFanOut - 1) / kReportFanOut);
+  }
+
+  Millis ReportPeriod() const
+  {
+    return Millis(kReportIntervalMillis *
+                  static_cast<int64_t>(this->ReportRounds()));
+  }
+
+  bool Connected(size_t aFrom, size_t aTo) const
+  {
+    return !this->isolated && !this->frozen[aFrom] && !this->frozen[aTo] &&
+           this->inMajority[aFrom] == this->inMajority[aTo];
+  }
+
+  // One round: each host reports to the next kReportFanOut of its peers.
+  void ExchangeReports(int64_t aNow)
+  {
+    const size_t count = this->hosts.size();
+    const size_t first = 1 + this->reportRound * kReportFanOut;
+    const size_t last = std::min(count, first + kReportFanOut);
+    for (size_t from = 0; from < count; ++from) {
+      const auto reports = this->hosts[from].OwnReports(At(aNow));
+      for (size_t step = first; step < last; ++step) {
+        const size_t to = (from + step) % count;
+        if (this->Connected(from, to)) {
+          this->hosts[to].OnPeerReport(
+            this->names[from], this->startTimes[from], reports, At(aNow));
+        }
+      }
+    }
+    this->reportRound = (this->reportRound + 1) % this->ReportRounds();
+  }
+
+  bool Decide(int aHost, int64_t aNow)
+  {
+    FleetQuota& host = this->hosts[aHost];
+    QuotaDecision decision = host.AdmitCall(kOrganisation, At(aNow));
+    for (int asks = 1; decision.verdict == QuotaVerdict::kAskOwner; ++asks) {
+      const auto owner = static_cast<size_t>(
+        std::find(this->names.begin(), this->names.end(), decision.owner) -
+        this->names.begin());
+      if (!this->Connected(aHost, owner)) {
+        decision =
+          host.AdmitAfterSilence(kOrganisation, decision.owner, asks, At(aNow));
+        continue;
+      }
+      ++this->asks;
+      const auto granted = this->hosts[owner].AdmitForPeer(
+        OrganisationHash(kOrganisation), this->names[aHost], At(aNow));
+      if (granted.value_or(false)) {
+        host.OnGranted(kOrganisation, At(aNow));
+      }
+      return granted.value_or(false);
+    }
+    return decision.verdict == QuotaVerdict::kAdmitted;
+  }
+
+  bool AdmitCall(int aHost, int64_t aNow)
+  {
+    const bool admitted = this->Decide(aHost, aNow);
+    if (admitted) {
+      this->admittedAt.push_back(aNow);
+    }
+    return admitted;
+  }
+
+  // Sends aCallsPerSecond calls on average, in groups of aGroupSize, each to a
+  // random host; returns the fraction refused.
+  double Run(int64_t aFrom,
+             int64_t aTo,
+             double aCallsPerSecond,
+             int aGroupSize = 1)
+  {
+    int total = 0;
+    int refused = 0;
+    std::uniform_int_distribution<int> host(
+      0, static_cast<int>(this->hosts.size()) - 1);
+    std::poisson_distribution<int> groups(aCallsPerSecond / aGroupSize / 1000);
+    for (int64_t now = aFrom; now < aTo; ++now) {
+      if (now % kReportIntervalMillis == 0) {
+        this->ExchangeReports(now);
+      }
+      for (int i = groups(this->random) * aGroupSize; i > 0; --i) {
+        const int at = host(this->random);
+        if (this->frozen[at]) {
+          continue;
+        }
+        ++total;
+        refused += this->AdmitCall(at, now) ? 0 : 1;
+        this->refusedByOneBucket += this->OneBucketAdmits(now) ? 0 : 1;
+      }
+    }
+    return total == 0 ? 0 : static_cast<double>(refused) / total;
+  }
+
+  // Decides as one bucket in one place would, with the same slack.
+  bool OneBucketAdmits(int64_t aNow)
+  {
+    const double burst =
+      this->cap.burst + (Bound(this->cap) - Use(this->cap)) / 2;
+    const double seconds =
+      static_cast<double>(aNow - this->oneBucketRefilledAt) / 1000;
+    this->oneBucketRefilledAt = aNow;
+    this->oneBucket =
+      std::min(burst, this->oneBucket + seconds * this->cap.ratePerSecond);
+    if (this->oneBucket < 1) {
+      return false;
+    }
+    this->oneBucket -= 1;
+    return true;
+  }
+
+  // The most calls admitted in any window that starts at aFromMillis or later.
+  size_t MaxCallsInWindow(int64_t aFromMillis = 0) const
+  {
+    std::deque<int64_t> window;
+    size_t most = 0;
+    for (int64_t at : this->admittedAt) {
+      if (at < aFromMillis) {
+        continue;
+      }
+      window.push_back(at);
+      while (window.front() <= at - kWindowMillis) {
+        window.pop_front();
+      }
+      most = std::max(most, window.size());
+    }
+    return most;
+  }
+
+  // Calls in a window that are within the cap itself, and with the slack.
+  static double Use(QuotaCap aCap)
+  {
+    return aCap.ratePerSecond * kWindowMillis / 1000.0 + aCap.burst;
+  }
+  static double Bound(QuotaCap aCap)
+  {
+    return Use(aCap) * (1 + kOverage) + kTolerance;
+  }
+
+  QuotaCap cap;
+  std::vector<std::string> names;
+  std::vector<uint64_t> startTimes;
+  std::vector<bool> inMajority;
+  // Neither sends nor answers, and gets no calls.
+  std::vector<bool> frozen;
+  std::vector<FleetQuota> hosts;
+  std::vector<int64_t> admittedAt;
+  // No host reaches another.
+  bool isolated = false;
+  // Calls that an owner decided about for another host.
+  size_t asks = 0;
+  size_t reportRound = 0;
+  int refusedByOneBucket = 0;
+  double oneBucket = 1e9;
+  int64_t oneBucketRefilledAt = 0;
+  std::mt19937 random{ 7 };
+};
+
+} // namespace tanagerseam::testing_support
+
+#endif // TANAGERSEAM_QUOTA_TESTING_SIMULATED_FLEET_H_
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -120,6 +120,7 @@
 void
 RetryingLog::ScheduleRetry(int aAttempts,
                            LogFault aFault,
+                           TimePoint aDeadline,
                            std::function<void()> aRetry)
 {
   if (aFault == LogFault::kNoAnswer) {
@@ -128,7 +129,10 @@
   }
   const Millis backoff = std::min(
     kMaxBackoff, kInitialBackoff * (1 << std::min(aAttempts, kMaxDoublings)));
-  auto timer = std::make_shared<asio::steady_timer>(this->io, backoff);
+  const auto remaining =
+    std::chrono::duration_cast<Millis>(aDeadline - BootNow());
+  auto timer = std::make_shared<asio::steady_timer>(
+    this->io, std::max(Millis(0), std::min(backoff, remaining)));
   timer->async_wait([timer, retry = std::move(aRetry)](const auto& aWaitError) {
     if (!aWaitError) {
       retry();
@@ -159,8 +163,10 @@
         aTask->done(aResult);
         return;
       }
-      this->ScheduleRetry(
-        aTask->attempts, *fault, [this, aTask] { this->AttemptAppend(aTask); });
+      this->ScheduleRetry(aTask->attempts,
+                          *fault,
+                          aTask->deadline,
+                          [this, aTask] { this->AttemptAppend(aTask); });
     });
 }
 
@@ -191,8 +197,9 @@
     aTask->done(aFault);
     return;
   }
-  this->ScheduleRetry(
-    aTask->attempts, aFault, [this, aTask] { this->AttemptRead(aTask); });
+  this->ScheduleRetry(aTask->attempts, aFault, aTask->deadline, [this, aTask] {
+    this->AttemptRead(aTask);
+  });
 }
 
 void
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -44,6 +44,8 @@
   // an unavailable log and would not notice its recovery, so this turns false
   // kProbeAfter after the last failure, until a probe call fails.
   bool IsUnavailable(TimePoint aNow) const;
+  // True if the last call failed.
+  bool IsFailing() const { return this->failingSince != TimePoint{}; }
   // Resets the failure state after another client got a response from the log.
   void MarkAvailable() { this->failingSince = TimePoint{}; }
 
@@ -56,9 +58,10 @@
   void OnReadFault(const std::shared_ptr<ReadTask>& aTask, LogFault aFault);
   void OnPage(const std::shared_ptr<ReadTask>& aTask, const RecordPage& aPage);
   // Retries at once if the response was lost, otherwise after an exponential
-  // backoff.
+  // backoff, and a last time at aDeadline.
   void ScheduleRetry(int aAttempts,
                      LogFault aFault,
+                     TimePoint aDeadline,
                      std::function<void()> aRetry);
   // Doubles with each attempt; at most the time left until aDeadline.
   Millis AttemptTimeout(int aAttempts,
--- a/recordlog/testing/persistent_log_test.cc
+++ b/recordlog/testing/persistent_log_test.cc
@@ -71,6 +71,15 @@
   EXPECT_FALSE(this->retryingLog.IsUnavailable(BootNow()));
 }
 
+// A pause before the next attempt once went past the deadline.
+TEST_F(RetryingLogTest, ReportsFailureAtTheDeadline)
+{
+  this->log.down = true;
+  this->Append(Millis(120));
+  this->RunFor(Millis(140));
+  EXPECT_EQ(this->failed, 1);
+}
+
 TEST_F(RetryingLogTest, IgnoresShortFailure)
 {
   this->log.down = true;
