outage_partial_test traced; a lease that is not confirmed says why

outage_partial_test (KNOWN-RED): the check of the log's order read it as soon as one daemon was normal again. Turns that were answered without the log stand at other daemons and go to the log once it is back.

Its refusal says only that the log counted as failing; lease_unconfirmed now logs whether appends or reads fail or the log hangs, what waits, and when it last responded.

--- a/daemon/journal.cc
+++ b/daemon/journal.cc
@@ -379,6 +379,21 @@
   return this->LogRequestsFail() || this->LogHangs();
 }
 
+LogFields
+Journal::LogHealth() const
+{
+  const auto name = [](bool aValue) { return aValue ? "true" : "false"; };
+  const bool started = this->follower != nullptr;
+  return {
+    { "appends_fail", name(started && this->writer->Failing()) },
+    { "reads_fail", name(started && this->follower->Failing()) },
+    { "log_hangs", name(this->LogHangs()) },
+    { "waiting_records", std::to_string(this->WaitingRecords()) },
+    { "last_response_ms_ago",
+      std::to_string(MillisBetween(this->LastLogResponse(), Now())) },
+  };
+}
+
 bool
 Journal::LogHangs() const
 {
--- a/daemon/journal.h
+++ b/daemon/journal.h
@@ -119,6 +119,8 @@
   // True while appends or reads fail or hang; a hanging log is detected within
   // a second.
   bool LogFailing() const;
+  // What LogFailing is decided from, for log lines.
+  LogFields LogHealth() const;
   // True if the newest append or read failed, or before Start.
   bool LogRequestsFail() const;
   TimePoint LastLogResponse() const;
--- a/daemon/program_service.cc
+++ b/daemon/program_service.cc
@@ -99,6 +99,10 @@
   }
   if (!this->context.mayActAsOwner(owner.slot) &&
       this->context.journal.LogFailing()) {
+    LogFields fields = this->context.journal.LogHealth();
+    fields.emplace_back("program", aRequest.program);
+    fields.emplace_back("slot", std::to_string(owner.slot));
+    LogWarn("lease_unconfirmed", fields);
     aSink.Refuse(
       MakeRefusal(RefusalReason::kOwnerUnavailable,
                   "the owner of the program could not confirm its lease"));
--- a/tests/integration/outage_fixture.h
+++ b/tests/integration/outage_fixture.h
@@ -12,6 +12,7 @@
 
 #include "kernel/kernel.h"
 #include "tests/support/fleet.h"
+#include "tests/support/program_client.h"
 
 namespace tanagerseam::testing_support {
 
@@ -195,8 +196,9 @@
     return found;
   }
 
-  // Every program's turns stand in the log in their order.
-  void ExpectOrderInLog()
+  // The newest turn of each program that the log holds. Turns must stand in it
+  // in their order.
+  std::map<std::string, size_t> LastTurnsInLog()
   {
     std::map<std::string, size_t> last;
     for (const Json& record : this->Logged("call_finished")) {
@@ -207,6 +209,27 @@
       EXPECT_LE(call, known + 1);
       known = std::max(known, call);
     }
+    return last;
+  }
+
+  bool AllTurnsInLog()
+  {
+    const auto last = this->LastTurnsInLog();
+    for (int i = 0; i < kPrograms; ++i) {
+      const auto found = last.find(this->programs[size_t(i)]);
+      if (found == last.end() || found->second != this->answered[size_t(i)]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // Every program's turns stand in the log in their order. The log gets the
+  // turns that were answered without it once it is back.
+  void ExpectOrderInLog()
+  {
+    WaitUntil([this] { return this->AllTurnsInLog(); }, kReturnLimit);
+    auto last = this->LastTurnsInLog();
     for (int i = 0; i < kPrograms; ++i) {
       EXPECT_EQ(last[this->programs[size_t(i)]], this->answered[size_t(i)]);
     }
