--- a/http/testing/http_client_test.cc
+++ b/http/testing/http_client_test.cc
@@ -47,6 +47,8 @@
 class BlockingClient : public ::testing::Test
 {
 protected:
+  using Socket = restinio::asio_ns::ip::tcp::socket;
+
   ~BlockingClient() override { this->StopServer(); }
 
   void Serve(RawEndpoint::Script aScript)
@@ -56,6 +58,39 @@
     this->thread = std::thread([this] { this->io.run(); });
   }
 
+  // Accepts one connection and no other one, and responds "first" to its first
+  // request. aThen continues on the connection.
+  std::thread ServeOneConnection(std::function<void(Socket&)> aThen)
+  {
+    using Acceptor = restinio::asio_ns::ip::tcp::acceptor;
+    const auto loopback = restinio::asio_ns::ip::make_address("127.0.0.1");
+    auto acceptor = std::make_unique<Acceptor>(
+      this->io, restinio::asio_ns::ip::tcp::endpoint{ loopback, 0 });
+    this->url =
+      "http://127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+    return std::thread(
+      [acceptor = std::move(acceptor), then = std::move(aThen)]() mutable {
+        Socket socket = acceptor->accept();
+        acceptor.reset();
+        ReadSome(socket);
+        Write(socket, Ok("first"));
+        then(socket);
+      });
+  }
+
+  // The bytes received; 0 at the end of the connection.
+  static size_t ReadSome(Socket& aSocket)
+  {
+    std::array<char, 4096> buffer{};
+    restinio::asio_ns::error_code ended;
+    return aSocket.read_some(restinio::asio_ns::buffer(buffer), ended);
+  }
+
+  static void Write(Socket& aSocket, const std::string& aBytes)
+  {
+    restinio::asio_ns::write(aSocket, restinio::asio_ns::buffer(aBytes));
+  }
+
   // The server's counts may be read afterwards.
   void StopServer()
   {
@@ -210,26 +245,11 @@
 // back on the kept connection and found no new one.
 TEST_F(BlockingClient, KnowsThatARequestHeldBackWasNotSent)
 {
-  using Socket = restinio::asio_ns::ip::tcp::socket;
-  auto acceptor = std::make_unique<restinio::asio_ns::ip::tcp::acceptor>(
-    this->io,
-    restinio::asio_ns::ip::tcp::endpoint{
-      restinio::asio_ns::ip::make_address("127.0.0.1"), 0 });
-  this->url =
-    "http://127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
-  std::thread serving([&] {
-    Socket socket = acceptor->accept();
-    acceptor.reset();
-    std::array<char, 4096> buffer{};
-    socket.read_some(restinio::asio_ns::buffer(buffer));
-    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("first")));
+  std::thread serving = this->ServeOneConnection([](Socket& aSocket) {
     std::this_thread::sleep_for(kArrival);
-    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("second")));
+    Write(aSocket, Ok("second"));
     // Until the client ends the connection.
-    restinio::asio_ns::error_code ignored;
-    const size_t received =
-      socket.read_some(restinio::asio_ns::buffer(buffer), ignored);
-    EXPECT_EQ(received, 0u);
+    EXPECT_EQ(ReadSome(aSocket), 0u);
   });
   EXPECT_EQ(Text(this->Get("/first")), "200 first");
   std::this_thread::sleep_for(2 * kArrival);
@@ -269,22 +289,8 @@
 // libcurl found no server.
 TEST_F(BlockingClient, KnowsThatARequestMayHaveArrivedBeforeTheServerWentAway)
 {
-  using Socket = restinio::asio_ns::ip::tcp::socket;
-  auto acceptor = std::make_unique<restinio::asio_ns::ip::tcp::acceptor>(
-    this->io,
-    restinio::asio_ns::ip::tcp::endpoint{
-      restinio::asio_ns::ip::make_address("127.0.0.1"), 0 });
-  this->url =
-    "http://127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
-  std::thread serving([&] {
-    Socket socket = acceptor->accept();
-    acceptor.reset();
-    std::array<char, 4096> buffer{};
-    socket.read_some(restinio::asio_ns::buffer(buffer));
-    restinio::asio_ns::write(socket, restinio::asio_ns::buffer(Ok("first")));
-    const size_t received = socket.read_some(restinio::asio_ns::buffer(buffer));
-    EXPECT_GT(received, 0u);
-  });
+  std::thread serving = this->ServeOneConnection(
+    [](Socket& aSocket) { EXPECT_GT(ReadSome(aSocket), 0u); });
   EXPECT_EQ(Text(this->Get("/first")), "200 first");
   EXPECT_EQ(Text(this->Get("/next")), "failure, sent");
   serving.join();
