Work that grew with the square of the fleet: members and reported loads

Now members are passed on when they change, and the reported loads are summed as reports arrive and expire. Decisions are the same: dispatch_test compares the sums with those of the last unexpired reports over 2,000 drawn ones; member_table_test tells changes from repetitions. dispatch_test, fleet_link_test and gateway_test pass.

--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -73,22 +73,44 @@
 double
 Dispatcher::OtherLoad(const EndpointState& aState, TimePoint aNow) const
 {
-  double reported = 0;
-  TimePoint newest{};
-  for (const auto& peer : this->peers) {
-    if (aNow - peer.second.receivedAt > kMaxReportAge) {
-      continue;
-    }
-    auto load = peer.second.loads.find(aState.hash);
-    reported += load == peer.second.loads.end() ? 0 : load->second;
-    newest = std::max(newest, peer.second.receivedAt);
-  }
+  const TimePoint newest =
+    this->arrivals.empty() ? TimePoint{} : this->arrivals.back().receivedAt;
   const bool hasEndpointReport = aState.reportedAt != TimePoint{} &&
                                  aNow - aState.reportedAt <= kMaxReportAge;
   if (hasEndpointReport && aState.reportedAt >= newest) {
     return aState.reportedOtherLoad;
   }
-  return reported;
+  auto reported = this->peerLoads.find(aState.hash);
+  return reported == this->peerLoads.end() ? 0 : reported->second;
+}
+
+void
+Dispatcher::CountReport(const EndpointLoads& aLoads, int aSign)
+{
+  for (const auto& entry : aLoads) {
+    int& sum = this->peerLoads[entry.first];
+    sum += aSign * entry.second;
+    if (sum == 0) {
+      this->peerLoads.erase(entry.first);
+    }
+  }
+}
+
+void
+Dispatcher::ExpireReports(TimePoint aNow)
+{
+  while (!this->arrivals.empty() &&
+         aNow - this->arrivals.front().receivedAt > kMaxReportAge) {
+    const ReportArrival& oldest = this->arrivals.front();
+    auto report = this->peers.find(oldest.host);
+    const bool superseded = report == this->peers.end() ||
+                            report->second.receivedAt > oldest.receivedAt;
+    if (!superseded) {
+      this->CountReport(report->second.loads, -1);
+      this->peers.erase(report);
+    }
+    this->arrivals.pop_front();
+  }
 }
 
 double
@@ -295,9 +317,9 @@
 }
 
 double
-Dispatcher::ServiceUtilisation(const std::string& aService,
-                               TimePoint aNow) const
+Dispatcher::ServiceUtilisation(const std::string& aService, TimePoint aNow)
 {
+  this->ExpireReports(aNow);
   double slots = 0;
   double load = 0;
   for (const auto& entry : this->endpoints) {
@@ -313,6 +335,7 @@
 DispatchDecision
 Dispatcher::Submit(const DispatchCall& aCall, TimePoint aNow)
 {
+  this->ExpireReports(aNow);
   if (this->Candidates(aCall, aNow).empty()) {
     return Refused{ DispatchRefusal::kNoEndpoint, 0 };
   }
@@ -337,6 +360,7 @@
 std::vector<Placement>
 Dispatcher::PlaceQueued(TimePoint aNow)
 {
+  this->ExpireReports(aNow);
   // Calls whose program deadline has passed go last. Otherwise calls are
   // ordered by priority, then earliest deadline first.
   this->queue.sort([aNow](const QueuedCall& aLeft, const QueuedCall& aRight) {
@@ -449,7 +473,12 @@
                          EndpointLoads aLoads,
                          TimePoint aNow)
 {
-  this->peers[aHost] = { std::move(aLoads), aNow };
+  this->ExpireReports(aNow);
+  PeerReport& report = this->peers[aHost];
+  this->CountReport(report.loads, -1);
+  this->CountReport(aLoads, 1);
+  report = { std::move(aLoads), aNow };
+  this->arrivals.push_back({ aNow, aHost });
 }
 
 void
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -46,9 +46,11 @@
 // doubles with each consecutive failure, up to a limit. If more than half of a
 // service's endpoints are ejected, ejection is ignored.
 //
-// Complexity: Submit is linear in the number of endpoints times reporting
-// hosts, and for the first call of a program also in the queued calls.
-// PlaceQueued does the same endpoint search for each queued call.
+// Complexity: Submit is linear in the number of endpoints, and for the first
+// call of a program also in the queued calls. PlaceQueued does the same
+// endpoint search for each queued call. The loads that hosts report are summed
+// as their reports arrive and expire, so a report costs the endpoints that it
+// names.
 #ifndef TANAGERSEAM_DISPATCH_DISPATCH_H_
 #define TANAGERSEAM_DISPATCH_DISPATCH_H_
 
@@ -238,7 +240,7 @@
   // The calls that this host has in flight, to be reported to other hosts.
   EndpointLoads OwnLoads() const;
   // Calls in flight divided by slots; 0 for a service without endpoints.
-  double ServiceUtilisation(const std::string& aService, TimePoint aNow) const;
+  double ServiceUtilisation(const std::string& aService, TimePoint aNow);
   size_t QueuedCalls() const { return this->queue.size(); }
 
 private:
@@ -291,10 +293,19 @@
     EndpointLoads loads;
     TimePoint receivedAt{};
   };
+  struct ReportArrival
+  {
+    TimePoint receivedAt{};
+    std::string host;
+  };
 
   // Calls of other hosts in flight: the endpoint's own report if it is newer
   // than all host reports, else the sum of the host reports.
   double OtherLoad(const EndpointState& aState, TimePoint aNow) const;
+  // Adds a report to the sums, or takes it out of them.
+  void CountReport(const EndpointLoads& aLoads, int aSign);
+  // Takes the reports out of the sums that are older than kMaxReportAge.
+  void ExpireReports(TimePoint aNow);
   bool IsInOwnZone(const EndpointState& aState) const
   {
     return aState.endpoint.zone == this->settings.zone;
@@ -344,7 +355,12 @@
   std::map<std::string, EndpointState> endpoints;
   std::unordered_map<uint64_t, InFlightCall> inFlight;
   std::list<QueuedCall> queue;
+  // The last report of each host that has not expired.
   std::unordered_map<std::string, PeerReport> peers;
+  // Arrivals of reports in order, including those superseded since.
+  std::deque<ReportArrival> arrivals;
+  // Sums over `peers`.
+  EndpointLoads peerLoads;
   // Moving averages by route: time of a call, and time per streamed token.
   std::unordered_map<std::string, double> routeMillis;
   std::unordered_map<std::string, double> tokenMillis;
--- a/dispatch/testing/dispatch_test.cc
+++ b/dispatch/testing/dispatch_test.cc
@@ -1,6 +1,8 @@
 // Tests of endpoint selection, queueing, admission control and ejection.
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "dispatch/dispatch.h"
 
 namespace tanagerseam {
@@ -132,6 +134,37 @@
   }
 }
 
+// Guards against sums that drift from the reports, or keep expired ones: with
+// hundreds of hosts they are no longer added up for each call.
+TEST_F(DispatcherTest, SumsTheLastUnexpiredReportOfEachPeer)
+{
+  constexpr int kHosts = 40;
+  constexpr int kSlots = 4;
+  std::mt19937 random(11);
+  std::uniform_int_distribution<int> host(0, kHosts - 1);
+  std::uniform_int_distribution<int> calls(0, 3);
+  std::uniform_int_distribution<int64_t> pause(1, 200);
+  std::vector<std::pair<int64_t, int>> last(kHosts, { -1000000, 0 });
+  int64_t now = 0;
+  for (int i = 0; i < 2000; ++i) {
+    now += pause(random);
+    const int from = host(random);
+    const int load = calls(random);
+    last[static_cast<size_t>(from)] = { now, load };
+    this->dispatcher.OnPeerReport(
+      "host-" + std::to_string(from),
+      { { EndpointHash(i % 2 == 0 ? "near" : "far"), load } },
+      At(now));
+    int expected = 0;
+    for (const auto& report : last) {
+      const Millis age(now - report.first);
+      expected += age <= Dispatcher::kMaxReportAge ? report.second : 0;
+    }
+    ASSERT_DOUBLE_EQ(this->dispatcher.ServiceUtilisation("drafting", At(now)),
+                     static_cast<double>(expected) / kSlots);
+  }
+}
+
 TEST_F(DispatcherTest, EjectsUnreachableEndpoint)
 {
   const DispatchCall call = this->NewCall();
@@ -186,6 +219,16 @@
   EXPECT_EQ(this->Submit(third, 60), "near");
 }
 
+TEST_F(DispatcherTest, DropsQueuedCallsWithoutAnEndpoint)
+{
+  this->FillSlots(0);
+  EXPECT_EQ(this->Submit(this->NewCall(), 0), "queued");
+  EXPECT_TRUE(this->dispatcher.DropUnservable(At(1)).empty());
+  this->dispatcher.SetEndpoints("drafting", {});
+  EXPECT_EQ(this->dispatcher.DropUnservable(At(2)), std::vector<uint64_t>{ 5 });
+  EXPECT_EQ(this->dispatcher.QueuedCalls(), 0u);
+}
+
 TEST_F(DispatcherTest, PlacesNothingOnRemovedEndpoints)
 {
   this->dispatcher.SetEndpoints("drafting", { { "far", "zone-b", 2 } });
--- a/fleet/member_table.cc
+++ b/fleet/member_table.cc
@@ -4,20 +4,24 @@
 
 namespace tanagerseam {
 
-void
+bool
 MemberTable::OnAnnouncement(const FleetMember& aMember,
                             bool aAgeUnknown,
                             TimePoint aNow)
 {
+  const bool known = this->entries.count(aMember.host) > 0;
   Entry& entry = this->entries[aMember.host];
+  const bool moved =
+    entry.member.ip != aMember.ip || entry.member.port != aMember.port;
   entry.member = aMember;
   entry.expiresAt = aNow + (aAgeUnknown ? kUnknownAgeTtl : kAnnouncementTtl);
+  return !known || moved;
 }
 
-void
+bool
 MemberTable::Remove(const std::string& aHost)
 {
-  this->entries.erase(aHost);
+  return this->entries.erase(aHost) > 0;
 }
 
 void
--- a/fleet/member_table.h
+++ b/fleet/member_table.h
@@ -40,11 +40,12 @@
   static constexpr Millis kLogStablePeriod{ 8000 };
 
   // aAgeUnknown: the announcement was made before this host began to read the
-  // log.
-  void OnAnnouncement(const FleetMember& aMember,
+  // log. True if the member is new or has a new address.
+  bool OnAnnouncement(const FleetMember& aMember,
                       bool aAgeUnknown,
                       TimePoint aNow);
-  void Remove(const std::string& aHost);
+  // True if there was such a member.
+  bool Remove(const std::string& aHost);
   // Ignored for a host that is not a member.
   void OnReport(const std::string& aHost, TimePoint aNow);
   void OnLogUnavailable();
--- a/fleet/testing/member_table_test.cc
+++ b/fleet/testing/member_table_test.cc
@@ -43,6 +43,19 @@
   EXPECT_FALSE(this->table.RemoveExpired(At(19000)).empty());
 }
 
+// Each host announces itself every few seconds, which must not cost the others
+// the work of a change of members.
+TEST_F(MemberTableTest, TellsChangesFromRepeatedAnnouncements)
+{
+  FleetMember member = MemberNamed("a");
+  EXPECT_TRUE(this->table.OnAnnouncement(member, false, At(0)));
+  EXPECT_FALSE(this->table.OnAnnouncement(member, false, At(4000)));
+  member.port += 1;
+  EXPECT_TRUE(this->table.OnAnnouncement(member, false, At(8000)));
+  EXPECT_TRUE(this->table.Remove("a"));
+  EXPECT_FALSE(this->table.Remove("a"));
+}
+
 // Regression test (soak test, seed 69): three hosts that had restarted while
 // the log was unavailable removed each other, and each used the whole quota.
 TEST_F(MemberTableTest, KeepsMembersWhileLogIsUnavailable)
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -430,15 +430,19 @@
 void
 Gateway::PutMember(const FleetMember& aMember, bool aPreexisting)
 {
-  this->impl->state.members.OnAnnouncement(aMember, aPreexisting, BootNow());
-  this->impl->state.UpdateMembers();
+  GatewayState& state = this->impl->state;
+  if (state.members.OnAnnouncement(aMember, aPreexisting, BootNow())) {
+    state.UpdateMembers();
+  }
 }
 
 void
 Gateway::RemoveMember(const std::string& aHost)
 {
-  this->impl->state.members.Remove(aHost);
-  this->impl->state.UpdateMembers();
+  GatewayState& state = this->impl->state;
+  if (state.members.Remove(aHost)) {
+    state.UpdateMembers();
+  }
 }
 
 void
