--- a/gateway/testing/gateway_outage_test.cc
+++ b/gateway/testing/gateway_outage_test.cc
@@ -7,7 +7,8 @@
 
 using namespace testing_support;
 
-// Two hosts that know each other, and a route without history.
+// Two hosts that know each other, each with a log of its own, and a route
+// without history.
 class GatewayOutageTest : public GatewayTest
 {
 protected:
@@ -59,6 +60,7 @@
   void LoseLog()
   {
     this->log.down = true;
+    this->peerLog.down = true;
     RawClient atHost(this->io, this->host.port);
     RawClient atPeer(this->io, this->peer.port);
     atHost.Send(this->Turn("lost-1") + this->Turn("lost-2"));
@@ -77,7 +79,8 @@
   }
 
   RawEndpoint engine{ io, Stream };
-  GatewayHost peer{ io, log, "host-2" };
+  MemoryLog peerLog{ io };
+  GatewayHost peer{ io, peerLog, "host-2" };
   int nextTurn = 0;
 };
 
@@ -99,6 +102,25 @@
   }
 }
 
+TEST_F(GatewayOutageTest, TheOnlyHostWithTheLogOwnsAllBudgets)
+{
+  this->peerLog.down = true;
+  RawClient atPeer(this->io, this->peer.port);
+  atPeer.Send(this->Turn("lost"));
+  // The peer notices that its log is away, and forwards the call.
+  EXPECT_TRUE(this->RunUntil(
+    [&atPeer] { return IsCompleteResponse(atPeer.Received()); }));
+  EXPECT_EQ(StatusOf(atPeer.Received()), 200);
+  this->RunFor(FleetLink::kReportInterval + Millis(20));
+  const int appendsBefore = this->log.appends;
+  for (int i = 0; i < kPrograms; ++i) {
+    EXPECT_EQ(this->StatusOfTurn(this->host, "p-" + std::to_string(i)), 200);
+    EXPECT_EQ(this->StatusOfTurn(this->host, "p-" + std::to_string(i)), 200);
+  }
+  EXPECT_EQ(this->log.appends - appendsBefore, kPrograms)
+    << "one grant for two turns of each program";
+}
+
 TEST_F(GatewayOutageTest, NewProgramsAreRefusedAtOnce)
 {
   this->LoseLog();
--- a/gateway/turn_budgets.cc
+++ b/gateway/turn_budgets.cc
@@ -102,7 +102,8 @@
 std::string
 TurnBudgets::FindBudgetOwner(const std::string& aProgram, TimePoint aNow) const
 {
-  const bool logNeeded = this->AnyPeerReachesLog(aNow);
+  const bool logNeeded =
+    !this->log.IsFailing() || this->AnyPeerReachesLog(aNow);
   std::string owner = this->ownHost;
   uint64_t highest = StableHash(aProgram + "@" + this->ownHost);
   for (const std::string& member : this->members) {
--- a/gateway/turn_budgets.h
+++ b/gateway/turn_budgets.h
@@ -16,7 +16,7 @@
 // admits new programs against the organisation's quota. If the owner does not
 // respond or can't decide, this host obtains a grant from the log for this turn
 // alone. A member that can't reach the log is not chosen as owner, unless no
-// member can: then the grants that the owners hold are all there is. Ownership
+// host can: then the grants that the owners hold are all there is. Ownership
 // is not exclusive: hosts that disagree about the owner cost additional appends
 // but never overspend, since every reservation is covered by a grant in the
 // log.
