quota: no pass over a peer's organisations that nothing reads

Each report of a peer set the demand of all its known organisations to 0 first, for a share of the demand that went with the host buckets. Nothing reads it since. Behaviour is the same; quota_test passes (20 of 20).

--- a/quota/peer_reports.cc
+++ b/quota/peer_reports.cc
@@ -85,9 +85,6 @@
         organisation->second, last, entry.second, grants[entry.first], aNow);
     }
   }
-  for (auto& entry : peer.reports) {
-    entry.second.demand = 0;
-  }
   for (const auto& entry : aReports) {
     peer.reports[entry.first] = entry.second;
   }
