--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -174,6 +174,15 @@
     return aDone();
   }
 
+  void RunFor(Millis aTime)
+  {
+    const TimePoint end = BootNow() + aTime;
+    this->RunUntil([end] { return BootNow() > end; });
+  }
+
+  // Runs until hosts that know each other have exchanged reports.
+  void ExchangeReports() { this->RunFor(3 * FleetLink::kReportInterval); }
+
   std::string Request(const std::string& aMethod,
                       const std::string& aTarget,
                       const std::string& aId,
--- a/gateway/testing/gateway_forward_test.cc
+++ b/gateway/testing/gateway_forward_test.cc
@@ -18,13 +18,6 @@
     }
   }
 
-  // Runs until the hosts have exchanged reports.
-  void ExchangeReports()
-  {
-    const TimePoint end = BootNow() + 3 * FleetLink::kReportInterval;
-    this->RunUntil([end] { return BootNow() > end; });
-  }
-
   GatewayHost peer{ io, log, "host-2" };
 };
 
--- a/gateway/testing/gateway_leaving_test.cc
+++ b/gateway/testing/gateway_leaving_test.cc
@@ -199,13 +199,6 @@
     this->ExchangeReports();
   }
 
-  // Runs until the hosts have exchanged reports.
-  void ExchangeReports()
-  {
-    const TimePoint end = BootNow() + 3 * FleetLink::kReportInterval;
-    this->RunUntil([end] { return BootNow() > end; });
-  }
-
   void ServeAtHost()
   {
     this->host.ApplyCatalog();
--- a/gateway/testing/gateway_outage_test.cc
+++ b/gateway/testing/gateway_outage_test.cc
@@ -20,7 +20,7 @@
       this->ApplyCatalogWithoutHistory(*each);
       each->AddEndpoint("e-1", "engines", this->engine.Address());
     }
-    this->RunFor(3 * FleetLink::kReportInterval);
+    this->ExchangeReports();
   }
 
   static void ApplyCatalogWithoutHistory(GatewayHost& aHost)
@@ -35,12 +35,6 @@
     aHost.gateway.ConfirmMembers();
   }
 
-  void RunFor(Millis aTime)
-  {
-    const TimePoint end = BootNow() + aTime;
-    this->RunUntil([end] { return BootNow() > end; });
-  }
-
   std::string Turn(const std::string& aProgram)
   {
     const std::string headers = "X-Program-Id: " + aProgram +
