--- a/call/call.h
+++ b/call/call.h
@@ -89,6 +89,9 @@
   bool isEventStream = false;
   // The endpoint is about to shut down and must get no more calls.
   bool leaving = false;
+  // Calls per second that the endpoint takes from all hosts together; unset if
+  // it names no limit.
+  std::optional<double> callsPerSecond;
   // In the response of a peer: id of the endpoint that is about to shut down.
   // Empty if there is none.
   std::string leavingEndpoint;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -190,6 +190,63 @@
   int64_t announcedAtMillis = 0;
 };
 
+// Bound on the difference of the clocks of two machines.
+inline constexpr Millis kClockTolerance{ 1000 };
+
+// True if the entry is of an incarnation that started after the endpoint made
+// an announcement; aStartedAtMillis is the start of the incarnation that made
+// it, as far as known.
+bool
+StartedAfter(const EndpointEntry& aEndpoint,
+             int64_t aStartedAtMillis,
+             int64_t aAnnouncedAtMillis);
+
+// What an endpoint said last about the rate of calls that it takes.
+struct EndpointRateLimit
+{
+  std::string id;
+  // Start of the incarnation that said it, as far as known; see EndpointEntry.
+  int64_t startedAtMillis = 0;
+  // Calls per second from all hosts together; unset if it takes any rate.
+  std::optional<double> callsPerSecond;
+  // When it was said, in milliseconds since the epoch.
+  int64_t announcedAtMillis = 0;
+};
+
+// The rate limits that endpoints name in their responses.
+//
+// A limit holds until a response without one to a request that was sent after
+// the limit was received; responses overtake each other, so one to an earlier
+// request says nothing. A new incarnation has no limit.
+class EndpointRateLimits
+{
+public:
+  // Withdrawn limits are reported to peers for this long.
+  static constexpr Millis kWithdrawalMemory{ 10000 };
+
+  // A response of an endpoint to a request sent at aSentAtMillis, which names
+  // aCallsPerSecond or no limit. True if the limit in force changes.
+  bool OnResponse(const EndpointRateLimit& aAnnouncement,
+                  int64_t aSentAtMillis);
+  // Another host has heard aAnnouncement. True if the limit in force changes.
+  bool OnPeerReport(const EndpointRateLimit& aAnnouncement);
+  // The registry's current entry. True if the limit in force changes.
+  bool OnEntry(const EndpointEntry& aEndpoint);
+  void Forget(const std::string& aId) { this->announcements.erase(aId); }
+  // The limit in force, in calls per second.
+  std::optional<double> Find(const std::string& aId) const;
+  // Number of endpoints with a limit.
+  size_t Count() const;
+  // To be reported to peers: limits in force and recent withdrawals.
+  std::vector<EndpointRateLimit> Announcements(int64_t aNowMillis) const;
+
+private:
+  bool Replace(const EndpointRateLimit& aAnnouncement);
+
+  // By endpoint id.
+  std::map<std::string, EndpointRateLimit> announcements;
+};
+
 class EndpointTable
 {
 public:
@@ -203,8 +260,6 @@
   static constexpr Millis kMassExpiryWindow{ 3000 };
   // Fewer removals are no mass expiry, whatever share of the entries they are.
   static constexpr size_t kMinMassExpiryEntries = 3;
-  // Bound on the difference of the clocks of two machines.
-  static constexpr Millis kClockTolerance{ 1000 };
   // An announcement is forgotten this long after it was last heard, if the
   // endpoint has no entry.
   static constexpr Millis kLeavingMemory{ 600000 };
@@ -248,9 +303,6 @@
     TimePoint heardAt{};
   };
 
-  // True if the entry is of an incarnation that started after the announcement.
-  static bool StartedAfter(const EndpointEntry& aEndpoint,
-                           const LeavingEndpoint& aAnnouncement);
   bool IsUsable(const Entry& aEntry) const;
   void ForgetAnnouncements(TimePoint aNow);
   // False during a registry outage, a mass expiry and the grace after either.
--- a/catalog/endpoint_table.cc
+++ b/catalog/endpoint_table.cc
@@ -26,28 +26,21 @@
   entry.removed = false;
   auto announcement = this->announcements.find(entry.endpoint.id);
   if (announcement != this->announcements.end() &&
-      StartedAfter(entry.endpoint, announcement->second.leaving)) {
+      StartedAfter(entry.endpoint,
+                   announcement->second.leaving.startedAtMillis,
+                   announcement->second.leaving.announcedAtMillis)) {
     this->announcements.erase(announcement);
   }
 }
 
-bool
-EndpointTable::StartedAfter(const EndpointEntry& aEndpoint,
-                            const LeavingEndpoint& aAnnouncement)
-{
-  // A new incarnation may itself have announced its shutdown before its entry
-  // arrived here.
-  return aEndpoint.startedAtMillis > aAnnouncement.startedAtMillis &&
-         aEndpoint.startedAtMillis >
-           aAnnouncement.announcedAtMillis - kClockTolerance.count();
-}
-
 bool
 EndpointTable::MarkLeaving(const LeavingEndpoint& aAnnouncement, TimePoint aNow)
 {
   auto entry = this->entries.find(aAnnouncement.id);
   const bool known = entry != this->entries.end();
-  if (known && StartedAfter(entry->second.endpoint, aAnnouncement)) {
+  if (known && StartedAfter(entry->second.endpoint,
+                            aAnnouncement.startedAtMillis,
+                            aAnnouncement.announcedAtMillis)) {
     return false;
   }
   const bool wasUsable = known && this->IsUsable(entry->second);
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -262,6 +262,73 @@
   EXPECT_FALSE(this->table.IsUsable("i-2"));
 }
 
+class EndpointRateLimitsTest : public ::testing::Test
+{
+protected:
+  static EndpointRateLimit Says(std::optional<double> aCallsPerSecond,
+                                int64_t aAtMillis)
+  {
+    return { "i-1", kStarted, aCallsPerSecond, aAtMillis };
+  }
+
+  static constexpr int64_t kStarted = 1000000;
+  static constexpr int64_t kNamed = kStarted + 60000;
+  EndpointRateLimits limits;
+};
+
+TEST_F(EndpointRateLimitsTest, HoldsUntilALaterResponseNamesNone)
+{
+  EXPECT_FALSE(this->limits.OnResponse(Says({}, kNamed - 10), kNamed - 20));
+  EXPECT_TRUE(this->limits.OnResponse(Says(5, kNamed), kNamed - 5));
+  EXPECT_EQ(this->limits.Find("i-1"), 5);
+  EXPECT_EQ(this->limits.Count(), 1u);
+  {
+    SCOPED_TRACE("a response to an earlier request arrives late");
+    EXPECT_FALSE(this->limits.OnResponse(Says({}, kNamed + 50), kNamed - 1));
+    EXPECT_EQ(this->limits.Find("i-1"), 5);
+  }
+  {
+    SCOPED_TRACE("a response to a later request");
+    EXPECT_TRUE(this->limits.OnResponse(Says({}, kNamed + 60), kNamed + 1));
+    EXPECT_EQ(this->limits.Find("i-1"), std::nullopt);
+    EXPECT_EQ(this->limits.Count(), 0u);
+  }
+}
+
+TEST_F(EndpointRateLimitsTest, EndsWithTheIncarnation)
+{
+  this->limits.OnResponse(Says(5, kNamed), kNamed - 5);
+  EndpointEntry entry;
+  entry.id = "i-1";
+  entry.startedAtMillis = kStarted;
+  EXPECT_FALSE(this->limits.OnEntry(entry));
+  entry.startedAtMillis = kNamed + 3000;
+  EXPECT_TRUE(this->limits.OnEntry(entry));
+  EXPECT_EQ(this->limits.Find("i-1"), std::nullopt);
+}
+
+TEST_F(EndpointRateLimitsTest, PeersHearOfLimitsAndOfTheirWithdrawal)
+{
+  EndpointRateLimits peer;
+  this->limits.OnResponse(Says(5, kNamed), kNamed - 5);
+  EXPECT_TRUE(peer.OnPeerReport(this->limits.Announcements(kNamed).at(0)));
+  EXPECT_EQ(peer.Find("i-1"), 5);
+  {
+    SCOPED_TRACE("the peer sees the withdrawal first; the host repeats itself");
+    EXPECT_TRUE(peer.OnResponse(Says({}, kNamed + 40), kNamed + 30));
+    EXPECT_FALSE(
+      peer.OnPeerReport(this->limits.Announcements(kNamed + 50).at(0)));
+    EXPECT_EQ(peer.Find("i-1"), std::nullopt);
+  }
+  {
+    SCOPED_TRACE("the host hears of it");
+    EXPECT_TRUE(
+      this->limits.OnPeerReport(peer.Announcements(kNamed + 50).at(0)));
+    EXPECT_EQ(this->limits.Find("i-1"), std::nullopt);
+    EXPECT_TRUE(this->limits.Announcements(kNamed + 20000).empty());
+  }
+}
+
 TEST_F(LeavingEndpointTest, AnnouncementIsForgottenLongAfterTheEntry)
 {
   this->table.Remove("i-1", At(1000));
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -82,9 +82,11 @@
   }
   this->endpointId = aPlacement.endpoint;
   this->exchangeActive = true;
+  const auto rateLimit = this->state.rateLimits.Find(aPlacement.endpoint);
   LogInfo("placed",
           this->WithCallIds(
             { { "endpoint", aPlacement.endpoint },
+              { "rate_limit", rateLimit ? std::to_string(*rateLimit) : "" },
               { "own_load", std::to_string(aPlacement.ownLoad) },
               { "other_load", std::to_string(aPlacement.otherLoad) },
               { "expected_ms", std::to_string(aPlacement.expectedMillis) } }));
@@ -117,6 +119,7 @@
   this->triedEndpoints.insert(this->endpointId);
   ++this->attempts;
   this->sentAt = BootNow();
+  this->sentAtMillis = WallMillis();
   this->firstEventAt = TimePoint{};
   RelayHandlers handlers;
   auto self = this->shared_from_this();
@@ -139,6 +142,8 @@
   if (aHead.leaving) {
     this->state.MarkLeavingNow(this->endpointId, "response");
   }
+  this->state.OnRateLimit(
+    this->endpointId, aHead.callsPerSecond, this->sentAtMillis);
   if (aHead.leaving && this->call.forwarded) {
     this->state.dependencies.dialect.AddLeavingEndpoint(aHead.headers,
                                                         this->endpointId);
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -155,6 +155,8 @@
   // The dispatcher holds this call, queued or placed.
   bool inDispatcher = false;
   TimePoint sentAt{};
+  // The same, in milliseconds since the epoch.
+  int64_t sentAtMillis = 0;
   TimePoint firstEventAt{};
   // Of the last attempt that ended.
   EventOutcome lastExchange;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -130,6 +130,35 @@
   this->MarkLeaving({ aEndpoint, startedAtMillis, WallMillis() }, aSource);
 }
 
+void
+GatewayState::OnRateLimit(const std::string& aEndpoint,
+                          std::optional<double> aCallsPerSecond,
+                          int64_t aSentAtMillis)
+{
+  const EndpointEntry* entry = this->endpoints.Find(aEndpoint);
+  if (entry == nullptr) {
+    return;
+  }
+  const EndpointRateLimit announcement{
+    aEndpoint, entry->startedAtMillis, aCallsPerSecond, WallMillis()
+  };
+  if (this->rateLimits.OnResponse(announcement, aSentAtMillis)) {
+    this->OnRateLimitChanged(aEndpoint, "response");
+  }
+}
+
+void
+GatewayState::OnRateLimitChanged(const std::string& aEndpoint,
+                                 const char* aSource)
+{
+  const auto limit = this->rateLimits.Find(aEndpoint);
+  LogInfo(
+    "endpoint_rate_limit",
+    { { "endpoint", aEndpoint },
+      { "calls_per_second", limit ? std::to_string(*limit) : "unlimited" },
+      { "source", aSource } });
+}
+
 void
 GatewayState::UpdateMembers()
 {
@@ -201,6 +230,9 @@
     for (const std::string& id : expired) {
       LogInfo("endpoint_removed", { { "endpoint", id }, { "why", "expired" } });
     }
+    for (const std::string& id : expired) {
+      this->state.rateLimits.Forget(id);
+    }
     if (!expired.empty()) {
       this->state.UpdateDispatcher();
     }
@@ -267,6 +299,9 @@
     metrics.Set("tanagerseam_calls_waiting",
                 {},
                 static_cast<double>(this->state.dispatcher.QueuedCalls()));
+    metrics.Set("tanagerseam_endpoints_with_rate_limit",
+                {},
+                static_cast<double>(this->state.rateLimits.Count()));
     metrics.Set("tanagerseam_members_heard",
                 {},
                 static_cast<double>(this->state.quota.ReachableMembers(aNow)));
@@ -377,6 +412,9 @@
                        previous->address != aEndpoint.address ||
                        previous->service != aEndpoint.service;
   const bool wasUsable = state.endpoints.IsUsable(id);
+  if (state.rateLimits.OnEntry(aEndpoint)) {
+    state.OnRateLimitChanged(id, "new_incarnation");
+  }
   state.endpoints.Put(std::move(aEndpoint), BootNow());
   if (!changed && wasUsable == state.endpoints.IsUsable(id)) {
     return;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -36,6 +36,13 @@
   void MarkLeaving(const LeavingEndpoint& aAnnouncement, const char* aSource);
   // Of an endpoint that announced it in a response that arrives now.
   void MarkLeavingNow(const std::string& aEndpoint, const char* aSource);
+  // A response of an endpoint, which names a rate limit or none. The request
+  // was sent at aSentAtMillis, in milliseconds since the epoch.
+  void OnRateLimit(const std::string& aEndpoint,
+                   std::optional<double> aCallsPerSecond,
+                   int64_t aSentAtMillis);
+  // Logs the limit in force of an endpoint. aSource is for the log.
+  void OnRateLimitChanged(const std::string& aEndpoint, const char* aSource);
   // True if the configuration has been unreadable for longer than
   // kStoreUnavailableAfter.
   bool StoreUnavailable(TimePoint aNow) const;
@@ -60,6 +67,7 @@
   std::shared_ptr<const Catalog> catalog;
   TimePoint catalogConfirmedAt{};
   EndpointTable endpoints;
+  EndpointRateLimits rateLimits;
   bool endpointsConfirmed = false;
   // The members were read at least once. Until then this host would take itself
   // for the whole fleet.
