quota: a host cut off from all others no longer grants at the fleet's rate

What would be seen: a quota or an endpoint's rate passed for up to two seconds when the hosts lose each other. Found by the test of endpoints' rates with 10 hosts: 44 to 46 calls in 4 s where 41 are allowed.

Cause: an owner that does not answer is suspected for a second, and the next one by rendezvous is asked. Once a host had suspected all that rank above it, it took itself for the owner and granted its own calls from its whole copy of the bucket, until their reports timed out, and each host did so. Class: silence taken for absence.

Ruled out: counting suspects as unreachable only.

Calls that others ask it for are granted as before. Since it is the same code, caps of organisations get it too.

--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -138,6 +138,13 @@
          aNow - peer->second.reportedAt <= this->ReportTimeout();
 }
 
+bool
+FleetQuota::IsSuspect(const std::string& aHost, TimePoint aNow) const
+{
+  auto suspected = this->suspectUntil.find(aHost);
+  return suspected != this->suspectUntil.end() && aNow < suspected->second;
+}
+
 size_t
 FleetQuota::ReachableMembers(TimePoint aNow) const
 {
@@ -172,8 +179,7 @@
     if (rank <= highest || !this->IsReachable(member.host, aNow)) {
       continue;
     }
-    auto suspected = this->suspectUntil.find(member.host);
-    if (suspected == this->suspectUntil.end() || aNow >= suspected->second) {
+    if (!this->IsSuspect(member.host, aNow)) {
       highest = rank;
       owner = member.host;
     }
@@ -181,6 +187,18 @@
   return owner;
 }
 
+bool
+FleetQuota::IsSubstitute(uint64_t aHash, TimePoint aNow) const
+{
+  const uint64_t ownRank = RendezvousRank(aHash, this->ownHash);
+  return std::any_of(
+    this->members.begin(), this->members.end(), [&](const Member& aMember) {
+      return this->IsSuspect(aMember.host, aNow) &&
+             this->IsReachable(aMember.host, aNow) &&
+             RendezvousRank(aHash, aMember.hash) > ownRank;
+    });
+}
+
 FleetQuota::OrganisationState*
 FleetQuota::Find(const std::string& aOrganisation)
 {
@@ -331,6 +349,9 @@
   if (owner != this->ownHost) {
     return { QuotaVerdict::kAskOwner, owner };
   }
+  if (this->IsSubstitute(aHash, aNow)) {
+    return this->DecideFromShare(aState, aNow);
+  }
   if (!this->ChargeFleetBucket(aState, aNow)) {
     return { QuotaVerdict::kRefused, "" };
   }
@@ -338,6 +359,17 @@
   return { QuotaVerdict::kAdmitted, "" };
 }
 
+QuotaDecision
+FleetQuota::DecideFromShare(OrganisationState& aState, TimePoint aNow)
+{
+  if (!this->AdmitFromShare(aState, aNow)) {
+    return { QuotaVerdict::kRefused, "" };
+  }
+  aState.fleetBucket -= 1;
+  CountAdmitted(aState);
+  return { QuotaVerdict::kAdmitted, "" };
+}
+
 QuotaDecision
 FleetQuota::AdmitCall(const std::string& aOrganisation, TimePoint aNow)
 {
@@ -387,12 +419,7 @@
   if (aAsks < kMaxAsks) {
     return this->DecideOrAsk(OrganisationHash(aOrganisation), *state, aNow);
   }
-  if (!this->AdmitFromShare(*state, aNow)) {
-    return { QuotaVerdict::kRefused, "" };
-  }
-  state->fleetBucket -= 1;
-  CountAdmitted(*state);
-  return { QuotaVerdict::kAdmitted, "" };
+  return this->DecideFromShare(*state, aNow);
 }
 
 std::optional<bool>
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -33,10 +33,12 @@
 // local allowance. It therefore asks for each call until one window has passed
 // since its start.
 //
-// Silent owner: the host asks the next member by rendezvous. After kMaxAsks it
-// admits calls at the rate of an equal share of the members. That bucket starts
-// at a random level below one call, so hosts that begin to use it at once admit
-// no more together than the organisation's rate.
+// Silent owner: the host asks the next member by rendezvous. After kMaxAsks, or
+// if it is itself the next one, it admits its calls at the rate of an equal
+// share of the members: either the owner is gone or this host is cut off, and
+// then all others may be doing the same. That bucket starts at a random level
+// below one call, so hosts that begin to use it at once admit no more together
+// than the organisation's rate.
 //
 // Bound: burst + rate x time + the local allowance of all hosts. The bucket
 // then becomes negative, and that debt is paid by later calls.
@@ -213,7 +215,8 @@
   // without recent calls and programs.
   QuotaReports OwnReports(TimePoint aNow) const;
   QuotaStatus Status(const std::string& aOrganisation, TimePoint aNow) const;
-  // Number of members with a recent report, including this host.
+  // Number of members with a recent report that answer as owners, including
+  // this host.
   size_t ReachableMembers(TimePoint aNow) const;
 
 private:
@@ -295,10 +298,16 @@
                        const QuotaReport& aReport,
                        uint64_t& aUnreportedGrants,
                        TimePoint aNow);
+  QuotaDecision DecideFromShare(OrganisationState& aState, TimePoint aNow);
+  // True if this host would own the quota only because members that report did
+  // not answer.
+  bool IsSubstitute(uint64_t aHash, TimePoint aNow) const;
   // The reachable member that owns the organisation's quota; may be this host.
   std::string FindOwner(uint64_t aHash, TimePoint aNow) const;
   Millis ReportTimeout() const;
   bool IsReachable(const std::string& aHost, TimePoint aNow) const;
+  // True if the host, as an owner, did not answer within kSuspicionDuration.
+  bool IsSuspect(const std::string& aHost, TimePoint aNow) const;
   // This host's part of the local allowance, in whole calls per report period.
   size_t LocalShare(const OrganisationState& aState) const;
   // Fraction of the members that are reachable.
--- a/quota/testing/quota_test.cc
+++ b/quota/testing/quota_test.cc
@@ -276,6 +276,18 @@
   }
 }
 
+// A host that had lost all others went on at the fleet's rate, as the owner in
+// their place, until their reports timed out.
+TEST_P(EndpointRateTest, IsKeptWhenNoHostHearsAnother)
+{
+  SimulatedFleet fleet = this->NewFleet();
+  this->Name(fleet, 6);
+  fleet.Run(kNamedAt, 21000, 30);
+  fleet.isolated = true;
+  fleet.Run(21000, 31000, 30);
+  EXPECT_LE(fleet.MaxCallsInWindow(), fleet.Bound());
+}
+
 INSTANTIATE_TEST_SUITE_P(Hosts,
                          EndpointRateTest,
                          ::testing::Values(10, 79, 295));
