--- a/call/call.h
+++ b/call/call.h
@@ -71,6 +71,12 @@
   std::set<std::string> excludedEndpoints;
 };
 
+// Identifies what a client asks for, over all attempts, programs and hosts: 16
+// hexadecimal digits of the organisation, the method, the host, the path and
+// the body as the client sent them.
+std::string
+CallDigest(const ServiceCall& aCall, const std::string& aOrganisation);
+
 // Calls at an endpoint, as it reports them.
 struct EndpointLoad
 {
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -53,6 +53,17 @@
   return std::max(Millis(1), remaining);
 }
 
+const std::string&
+CallFlow::Digest()
+{
+  if (this->digest.empty()) {
+    this->digest =
+      CallDigest(this->call,
+                 this->organisation == nullptr ? "" : this->organisation->name);
+  }
+  return this->digest;
+}
+
 LogFields
 CallFlow::WithCallIds(LogFields aFields) const
 {
@@ -293,6 +304,7 @@
 {
   LogInfo("broken",
           this->WithExchange({ { "endpoint", this->endpointId },
+                               { "call", this->Digest() },
                                { "error", std::string(NameOf(aOutcome.error)) },
                                { "detail", aOutcome.detail } }));
   if (this->relay->EventTooLong()) {
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -112,6 +112,8 @@
   // Randomised Retry-After for a refused client, scaled to its remaining time.
   Millis DrawRetryAfter();
   Millis RemainingTime() const;
+  // See CallDigest.
+  const std::string& Digest();
   // The status of the last attempt's response; 0 without a response.
   int ResponseStatus() const;
   // The head of an event stream has been sent to the client.
@@ -139,6 +141,8 @@
   // "organisation/program id": the same id in two organisations means two
   // programs.
   std::string programKey;
+  // Result of Digest; empty until it is first asked for.
+  std::string digest;
   bool quotaAcquired = false;
   // Budget tokens reserved for this turn; reset once settled.
   std::optional<TurnReservation> reservation;
--- a/program/history_service.cc
+++ b/program/history_service.cc
@@ -13,6 +13,21 @@
   std::string text;
 };
 
+namespace {
+
+void
+LogForeignTurn(const std::string& aTurn,
+               const std::string& aAsking,
+               const std::string& aHolding)
+{
+  LogInfo("turn_of_another_organisation",
+          { { "turn", aTurn },
+            { "organisation", aAsking },
+            { "held_by", aHolding } });
+}
+
+} // namespace
+
 HistoryService::HistoryService(RetryingLog& aLog, ProgramSettings aSettings)
   : log(aLog)
   , settings(std::move(aSettings))
@@ -81,6 +96,7 @@
     CacheEntry& entry = *cached->second;
     entry.lastUsedAt = BootNow();
     if (entry.organisation != aOrganisation) {
+      LogForeignTurn(aTurn, aOrganisation, entry.organisation);
       aDone(HistoryMiss::kNoSuchTurn);
       return;
     }
@@ -121,6 +137,9 @@
           aOrganisation, aTurn, aCandidate + 1, aDeadline, done);
         return;
       }
+      if (wanted && wanted->organisation != aOrganisation) {
+        LogForeignTurn(aTurn, aOrganisation, wanted->organisation);
+      }
       if (!wanted || wanted->organisation != aOrganisation) {
         done(HistoryMiss::kNoSuchTurn);
         return;
