--- a/gateway/testing/raw_peer.h
+++ b/gateway/testing/raw_peer.h
@@ -83,6 +83,8 @@
   LateBytes late = {};
   // If not empty, sent over and over after `bytes`, until the peer closes.
   std::string endless = {};
+  // The endpoint crashes after `bytes`; see RawEndpoint::Crash.
+  bool crash = false;
 };
 
 class RawEndpoint
@@ -104,6 +106,21 @@
            std::to_string(this->acceptor.local_endpoint().port());
   }
 
+  // Closes all connections and accepts no more.
+  void Crash()
+  {
+    net::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const auto& entry : this->connections) {
+      if (const auto connection = entry.lock()) {
+        connection->socket.close(ignored);
+        connection->timer.cancel();
+      }
+    }
+    this->crashed = true;
+  }
+
+  bool crashed = false;
   // All complete requests received, in order.
   std::vector<std::string> requests;
   // Connections that the other side closed while a response was delayed.
@@ -140,6 +157,7 @@
   void Accept()
   {
     auto connection = std::make_shared<Connection>(this->io);
+    this->connections.push_back(connection);
     this->acceptor.async_accept(connection->socket,
                                 [this, connection](const auto& aError) {
                                   if (aError) {
@@ -249,6 +267,10 @@
   {
     net::error_code ignored;
     net::write(aConnection->socket, net::buffer(aResponse.bytes), ignored);
+    if (aResponse.crash) {
+      this->Crash();
+      return;
+    }
     if (!aResponse.endless.empty()) {
       ++this->endlessResponses;
       this->RespondWithoutEnd(
@@ -307,6 +329,7 @@
   net::io_context& io;
   net::ip::tcp::acceptor acceptor;
   Script script;
+  std::vector<std::weak_ptr<Connection>> connections;
 };
 
 // Sends bytes to a port and collects the bytes received.
