A call that crashes the endpoints that run it is refused after three crashes

Cause: nothing remembered a call beyond its end; each attempt began anew. Class: a failure that follows its input is treated as one of the place where it happened.

Ruled out: retries of this system (one placement for each request id). Knowledge that comes too late from peers: there was none.

Change: CallQuarantine, a library without network. Attempts count as the same call by a digest of organisation, method, host, path and body. A break counts if its endpoint then refuses connections, in a row, since the last success; three are a quarantine of a minute, doubled by each further crash. Hosts merge what they saw in their reports. The call is refused with call_quarantined before its history is read, and looked up again when it is sent. EventOutcome says whether the connection was refused. A turn that is refused as unknown names the turn.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -33,6 +33,7 @@
 #include "catalog/catalog.h"
 #include "dispatch/dispatch.h"
 #include "kernel/kernel.h"
+#include "quarantine/quarantine.h"
 #include "quota/quota.h"
 
 namespace tanagerseam {
@@ -65,6 +66,7 @@
   std::vector<LeavingEndpoint> leavingEndpoints;
   // At most kMaxReportedRateLimits are sent, the newest ones.
   std::vector<EndpointRateLimit> rateLimits;
+  QuarantineReport quarantine;
 };
 
 // Asks for a reservation of tokens for one turn of a program.
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -29,6 +29,18 @@
 struct RateLimitBuilder;
 struct RateLimitT;
 
+struct BrokenCall;
+struct BrokenCallBuilder;
+struct BrokenCallT;
+
+struct ClearedCall;
+struct ClearedCallBuilder;
+struct ClearedCallT;
+
+struct DownEndpoint;
+struct DownEndpointBuilder;
+struct DownEndpointT;
+
 struct LoadReport;
 struct LoadReportBuilder;
 struct LoadReportT;
@@ -539,6 +551,277 @@
 
 flatbuffers::Offset<RateLimit> CreateRateLimit(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct BrokenCallT : public flatbuffers::NativeTable {
+  typedef BrokenCall TableType;
+  std::string call{};
+  std::string endpoint{};
+  int64_t sent = 0;
+  int64_t broken = 0;
+};
+
+struct BrokenCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BrokenCallT NativeTableType;
+  typedef BrokenCallBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_ENDPOINT = 6,
+    VT_SENT = 8,
+    VT_BROKEN = 10
+  };
+  const flatbuffers::String *call() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALL);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  int64_t sent() const {
+    return GetField<int64_t>(VT_SENT, 0);
+  }
+  int64_t broken() const {
+    return GetField<int64_t>(VT_BROKEN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CALL) &&
+           verifier.VerifyString(call()) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<int64_t>(verifier, VT_SENT, 8) &&
+           VerifyField<int64_t>(verifier, VT_BROKEN, 8) &&
+           verifier.EndTable();
+  }
+  BrokenCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BrokenCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BrokenCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BrokenCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BrokenCallBuilder {
+  typedef BrokenCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(flatbuffers::Offset<flatbuffers::String> call) {
+    fbb_.AddOffset(BrokenCall::VT_CALL, call);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(BrokenCall::VT_ENDPOINT, endpoint);
+  }
+  void add_sent(int64_t sent) {
+    fbb_.AddElement<int64_t>(BrokenCall::VT_SENT, sent, 0);
+  }
+  void add_broken(int64_t broken) {
+    fbb_.AddElement<int64_t>(BrokenCall::VT_BROKEN, broken, 0);
+  }
+  explicit BrokenCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BrokenCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BrokenCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BrokenCall> CreateBrokenCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> call = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    int64_t sent = 0,
+    int64_t broken = 0) {
+  BrokenCallBuilder builder_(_fbb);
+  builder_.add_broken(broken);
+  builder_.add_sent(sent);
+  builder_.add_endpoint(endpoint);
+  builder_.add_call(call);
+  return builder_.Finish();
+}
+
+struct BrokenCall::Traits {
+  using type = BrokenCall;
+  static auto constexpr Create = CreateBrokenCall;
+};
+
+inline flatbuffers::Offset<BrokenCall> CreateBrokenCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *call = nullptr,
+    const char *endpoint = nullptr,
+    int64_t sent = 0,
+    int64_t broken = 0) {
+  auto call__ = call ? _fbb.CreateString(call) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return tanagerseam::fleetwire::CreateBrokenCall(
+      _fbb,
+      call__,
+      endpoint__,
+      sent,
+      broken);
+}
+
+flatbuffers::Offset<BrokenCall> CreateBrokenCall(flatbuffers::FlatBufferBuilder &_fbb, const BrokenCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ClearedCallT : public flatbuffers::NativeTable {
+  typedef ClearedCall TableType;
+  std::string call{};
+  int64_t sent = 0;
+};
+
+struct ClearedCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ClearedCallT NativeTableType;
+  typedef ClearedCallBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_SENT = 6
+  };
+  const flatbuffers::String *call() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALL);
+  }
+  int64_t sent() const {
+    return GetField<int64_t>(VT_SENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CALL) &&
+           verifier.VerifyString(call()) &&
+           VerifyField<int64_t>(verifier, VT_SENT, 8) &&
+           verifier.EndTable();
+  }
+  ClearedCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ClearedCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ClearedCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClearedCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ClearedCallBuilder {
+  typedef ClearedCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(flatbuffers::Offset<flatbuffers::String> call) {
+    fbb_.AddOffset(ClearedCall::VT_CALL, call);
+  }
+  void add_sent(int64_t sent) {
+    fbb_.AddElement<int64_t>(ClearedCall::VT_SENT, sent, 0);
+  }
+  explicit ClearedCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ClearedCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ClearedCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ClearedCall> CreateClearedCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> call = 0,
+    int64_t sent = 0) {
+  ClearedCallBuilder builder_(_fbb);
+  builder_.add_sent(sent);
+  builder_.add_call(call);
+  return builder_.Finish();
+}
+
+struct ClearedCall::Traits {
+  using type = ClearedCall;
+  static auto constexpr Create = CreateClearedCall;
+};
+
+inline flatbuffers::Offset<ClearedCall> CreateClearedCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *call = nullptr,
+    int64_t sent = 0) {
+  auto call__ = call ? _fbb.CreateString(call) : 0;
+  return tanagerseam::fleetwire::CreateClearedCall(
+      _fbb,
+      call__,
+      sent);
+}
+
+flatbuffers::Offset<ClearedCall> CreateClearedCall(flatbuffers::FlatBufferBuilder &_fbb, const ClearedCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DownEndpointT : public flatbuffers::NativeTable {
+  typedef DownEndpoint TableType;
+  std::string endpoint{};
+  int64_t seen = 0;
+};
+
+struct DownEndpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DownEndpointT NativeTableType;
+  typedef DownEndpointBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_SEEN = 6
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  int64_t seen() const {
+    return GetField<int64_t>(VT_SEEN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<int64_t>(verifier, VT_SEEN, 8) &&
+           verifier.EndTable();
+  }
+  DownEndpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DownEndpointT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DownEndpoint> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DownEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DownEndpointBuilder {
+  typedef DownEndpoint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(DownEndpoint::VT_ENDPOINT, endpoint);
+  }
+  void add_seen(int64_t seen) {
+    fbb_.AddElement<int64_t>(DownEndpoint::VT_SEEN, seen, 0);
+  }
+  explicit DownEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DownEndpoint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DownEndpoint>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DownEndpoint> CreateDownEndpoint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    int64_t seen = 0) {
+  DownEndpointBuilder builder_(_fbb);
+  builder_.add_seen(seen);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+struct DownEndpoint::Traits {
+  using type = DownEndpoint;
+  static auto constexpr Create = CreateDownEndpoint;
+};
+
+inline flatbuffers::Offset<DownEndpoint> CreateDownEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    int64_t seen = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return tanagerseam::fleetwire::CreateDownEndpoint(
+      _fbb,
+      endpoint__,
+      seen);
+}
+
+flatbuffers::Offset<DownEndpoint> CreateDownEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const DownEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LoadReportT : public flatbuffers::NativeTable {
   typedef LoadReport TableType;
   uint64_t sequence = 0;
@@ -549,6 +832,9 @@
   std::string call_address{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::LeavingEndpointT>> leaving{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::RateLimitT>> rate_limits{};
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::BrokenCallT>> broken_calls{};
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::ClearedCallT>> cleared_calls{};
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::DownEndpointT>> down_endpoints{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -567,7 +853,10 @@
     VT_READY = 12,
     VT_CALL_ADDRESS = 14,
     VT_LEAVING = 16,
-    VT_RATE_LIMITS = 18
+    VT_RATE_LIMITS = 18,
+    VT_BROKEN_CALLS = 20,
+    VT_CLEARED_CALLS = 22,
+    VT_DOWN_ENDPOINTS = 24
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -593,6 +882,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>> *>(VT_RATE_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>> *broken_calls() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>> *>(VT_BROKEN_CALLS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> *cleared_calls() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> *>(VT_CLEARED_CALLS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *down_endpoints() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *>(VT_DOWN_ENDPOINTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -610,6 +908,15 @@
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
            verifier.VerifyVectorOfTables(rate_limits()) &&
+           VerifyOffset(verifier, VT_BROKEN_CALLS) &&
+           verifier.VerifyVector(broken_calls()) &&
+           verifier.VerifyVectorOfTables(broken_calls()) &&
+           VerifyOffset(verifier, VT_CLEARED_CALLS) &&
+           verifier.VerifyVector(cleared_calls()) &&
+           verifier.VerifyVectorOfTables(cleared_calls()) &&
+           VerifyOffset(verifier, VT_DOWN_ENDPOINTS) &&
+           verifier.VerifyVector(down_endpoints()) &&
+           verifier.VerifyVectorOfTables(down_endpoints()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -645,6 +952,15 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>>> rate_limits) {
     fbb_.AddOffset(LoadReport::VT_RATE_LIMITS, rate_limits);
   }
+  void add_broken_calls(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>>> broken_calls) {
+    fbb_.AddOffset(LoadReport::VT_BROKEN_CALLS, broken_calls);
+  }
+  void add_cleared_calls(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>>> cleared_calls) {
+    fbb_.AddOffset(LoadReport::VT_CLEARED_CALLS, cleared_calls);
+  }
+  void add_down_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>> down_endpoints) {
+    fbb_.AddOffset(LoadReport::VT_DOWN_ENDPOINTS, down_endpoints);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -665,9 +981,15 @@
     bool ready = false,
     flatbuffers::Offset<flatbuffers::String> call_address = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>>> leaving = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>>> rate_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>>> broken_calls = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>>> cleared_calls = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>> down_endpoints = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
+  builder_.add_down_endpoints(down_endpoints);
+  builder_.add_cleared_calls(cleared_calls);
+  builder_.add_broken_calls(broken_calls);
   builder_.add_rate_limits(rate_limits);
   builder_.add_leaving(leaving);
   builder_.add_call_address(call_address);
@@ -692,12 +1014,18 @@
     bool ready = false,
     const char *call_address = nullptr,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>> *leaving = nullptr,
-    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>> *rate_limits = nullptr) {
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>> *rate_limits = nullptr,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>> *broken_calls = nullptr,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> *cleared_calls = nullptr,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *down_endpoints = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::EndpointCalls>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::OrganisationUse>(*organisations) : 0;
   auto call_address__ = call_address ? _fbb.CreateString(call_address) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>>(*leaving) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>>(*rate_limits) : 0;
+  auto broken_calls__ = broken_calls ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>>(*broken_calls) : 0;
+  auto cleared_calls__ = cleared_calls ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>>(*cleared_calls) : 0;
+  auto down_endpoints__ = down_endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>(*down_endpoints) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       sequence,
@@ -707,7 +1035,10 @@
       ready,
       call_address__,
       leaving__,
-      rate_limits__);
+      rate_limits__,
+      broken_calls__,
+      cleared_calls__,
+      down_endpoints__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1367,6 +1698,99 @@
       _calls_per_second);
 }
 
+inline BrokenCallT *BrokenCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BrokenCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BrokenCall::UnPackTo(BrokenCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); if (_e) _o->call = _e->str(); }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = sent(); _o->sent = _e; }
+  { auto _e = broken(); _o->broken = _e; }
+}
+
+inline flatbuffers::Offset<BrokenCall> BrokenCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BrokenCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBrokenCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BrokenCall> CreateBrokenCall(flatbuffers::FlatBufferBuilder &_fbb, const BrokenCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BrokenCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call.empty() ? 0 : _fbb.CreateString(_o->call);
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _sent = _o->sent;
+  auto _broken = _o->broken;
+  return tanagerseam::fleetwire::CreateBrokenCall(
+      _fbb,
+      _call,
+      _endpoint,
+      _sent,
+      _broken);
+}
+
+inline ClearedCallT *ClearedCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ClearedCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ClearedCall::UnPackTo(ClearedCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); if (_e) _o->call = _e->str(); }
+  { auto _e = sent(); _o->sent = _e; }
+}
+
+inline flatbuffers::Offset<ClearedCall> ClearedCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClearedCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateClearedCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ClearedCall> CreateClearedCall(flatbuffers::FlatBufferBuilder &_fbb, const ClearedCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClearedCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call.empty() ? 0 : _fbb.CreateString(_o->call);
+  auto _sent = _o->sent;
+  return tanagerseam::fleetwire::CreateClearedCall(
+      _fbb,
+      _call,
+      _sent);
+}
+
+inline DownEndpointT *DownEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DownEndpointT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DownEndpoint::UnPackTo(DownEndpointT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = seen(); _o->seen = _e; }
+}
+
+inline flatbuffers::Offset<DownEndpoint> DownEndpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DownEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDownEndpoint(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DownEndpoint> CreateDownEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const DownEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DownEndpointT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _seen = _o->seen;
+  return tanagerseam::fleetwire::CreateDownEndpoint(
+      _fbb,
+      _endpoint,
+      _seen);
+}
+
 inline LoadReportT::LoadReportT(const LoadReportT &o)
       : sequence(o.sequence),
         endpoints(o.endpoints),
@@ -1378,6 +1802,12 @@
   for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new tanagerseam::fleetwire::LeavingEndpointT(*leaving_) : nullptr); }
   rate_limits.reserve(o.rate_limits.size());
   for (const auto &rate_limits_ : o.rate_limits) { rate_limits.emplace_back((rate_limits_) ? new tanagerseam::fleetwire::RateLimitT(*rate_limits_) : nullptr); }
+  broken_calls.reserve(o.broken_calls.size());
+  for (const auto &broken_calls_ : o.broken_calls) { broken_calls.emplace_back((broken_calls_) ? new tanagerseam::fleetwire::BrokenCallT(*broken_calls_) : nullptr); }
+  cleared_calls.reserve(o.cleared_calls.size());
+  for (const auto &cleared_calls_ : o.cleared_calls) { cleared_calls.emplace_back((cleared_calls_) ? new tanagerseam::fleetwire::ClearedCallT(*cleared_calls_) : nullptr); }
+  down_endpoints.reserve(o.down_endpoints.size());
+  for (const auto &down_endpoints_ : o.down_endpoints) { down_endpoints.emplace_back((down_endpoints_) ? new tanagerseam::fleetwire::DownEndpointT(*down_endpoints_) : nullptr); }
 }
 
 inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
@@ -1389,6 +1819,9 @@
   std::swap(call_address, o.call_address);
   std::swap(leaving, o.leaving);
   std::swap(rate_limits, o.rate_limits);
+  std::swap(broken_calls, o.broken_calls);
+  std::swap(cleared_calls, o.cleared_calls);
+  std::swap(down_endpoints, o.down_endpoints);
   return *this;
 }
 
@@ -1409,6 +1842,9 @@
   { auto _e = call_address(); if (_e) _o->call_address = _e->str(); }
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<tanagerseam::fleetwire::LeavingEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = rate_limits(); if (_e) { _o->rate_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_limits[_i] = std::unique_ptr<tanagerseam::fleetwire::RateLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = broken_calls(); if (_e) { _o->broken_calls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->broken_calls[_i] = std::unique_ptr<tanagerseam::fleetwire::BrokenCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = cleared_calls(); if (_e) { _o->cleared_calls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cleared_calls[_i] = std::unique_ptr<tanagerseam::fleetwire::ClearedCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = down_endpoints(); if (_e) { _o->down_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->down_endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::DownEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1427,6 +1863,9 @@
   auto _call_address = _o->call_address.empty() ? 0 : _fbb.CreateString(_o->call_address);
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::LeavingEndpoint>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingEndpoint(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _rate_limits = _o->rate_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>> (_o->rate_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRateLimit(*__va->__fbb, __va->__o->rate_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _broken_calls = _o->broken_calls.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>> (_o->broken_calls.size(), [](size_t i, _VectorArgs *__va) { return CreateBrokenCall(*__va->__fbb, __va->__o->broken_calls[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _cleared_calls = _o->cleared_calls.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> (_o->cleared_calls.size(), [](size_t i, _VectorArgs *__va) { return CreateClearedCall(*__va->__fbb, __va->__o->cleared_calls[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _down_endpoints = _o->down_endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> (_o->down_endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateDownEndpoint(*__va->__fbb, __va->__o->down_endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       _sequence,
@@ -1436,7 +1875,10 @@
       _ready,
       _call_address,
       _leaving,
-      _rate_limits);
+      _rate_limits,
+      _broken_calls,
+      _cleared_calls,
+      _down_endpoints);
 }
 
 inline ReserveTokensT *ReserveTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/fleet/report_wire.cc
+++ b/fleet/report_wire.cc
@@ -22,6 +22,49 @@
   return aAnnouncements;
 }
 
+void
+QuarantineToWire(const QuarantineReport& aReport,
+                 fleetwire::LoadReportT& aTable)
+{
+  for (const BrokenCall& broken : aReport.broken) {
+    auto entry = std::make_unique<fleetwire::BrokenCallT>();
+    entry->call = broken.call;
+    entry->endpoint = broken.endpoint;
+    entry->sent = broken.sentAtMillis;
+    entry->broken = broken.brokenAtMillis;
+    aTable.broken_calls.push_back(std::move(entry));
+  }
+  for (const ClearedCall& cleared : aReport.cleared) {
+    auto entry = std::make_unique<fleetwire::ClearedCallT>();
+    entry->call = cleared.call;
+    entry->sent = cleared.sentAtMillis;
+    aTable.cleared_calls.push_back(std::move(entry));
+  }
+  for (const DownEndpoint& down : aReport.down) {
+    auto entry = std::make_unique<fleetwire::DownEndpointT>();
+    entry->endpoint = down.endpoint;
+    entry->seen = down.seenAtMillis;
+    aTable.down_endpoints.push_back(std::move(entry));
+  }
+}
+
+QuarantineReport
+QuarantineFromWire(const fleetwire::LoadReportT& aTable)
+{
+  QuarantineReport report;
+  for (const auto& entry : aTable.broken_calls) {
+    report.broken.push_back(
+      { entry->call, entry->endpoint, entry->sent, entry->broken });
+  }
+  for (const auto& entry : aTable.cleared_calls) {
+    report.cleared.push_back({ entry->call, entry->sent });
+  }
+  for (const auto& entry : aTable.down_endpoints) {
+    report.down.push_back({ entry->endpoint, entry->seen });
+  }
+  return report;
+}
+
 } // namespace
 
 fleetwire::LoadReportT
@@ -62,6 +105,7 @@
     entry->calls_per_second = limit.callsPerSecond.value_or(0);
     table.rate_limits.push_back(std::move(entry));
   }
+  QuarantineToWire(aReport.quarantine, table);
   if (table.organisations.size() > FleetLink::kMaxReportedOrganisations) {
     std::sort(table.organisations.begin(),
               table.organisations.end(),
@@ -88,6 +132,7 @@
     report.leavingEndpoints.push_back(
       { entry->id, entry->started, entry->announced });
   }
+  report.quarantine = QuarantineFromWire(table);
   for (const auto& entry : table.rate_limits) {
     EndpointRateLimit limit;
     limit.id = entry->id;
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -57,6 +57,15 @@
     report.endpointLoads[EndpointHash("e")] = 3;
     report.quotaReports[OrganisationHash("club")] = { 4.5, 100, 7, 80 };
     report.leavingEndpoints = { { "e-9", 1700000000000, 1700000060000 } };
+    report.rateLimits = {
+      { "e-7", 1700000000000, 5.25, 1700000060000 },
+      { "e-8", 1700000000000, std::nullopt, 1700000060000 },
+    };
+    report.quarantine.broken = {
+      { "0123", "e-6@1700000000000", 1700000050000, 1700000050100 }
+    };
+    report.quarantine.cleared = { { "4567", 1700000050000 } };
+    report.quarantine.down = { { "e-6@1700000000000", 1700000050200 } };
     aLink.SendReport(report);
     this->RunFor(Millis(20));
   }
@@ -90,6 +99,24 @@
             1700000000000);
   EXPECT_EQ(this->reports[0].leavingEndpoints[0].announcedAtMillis,
             1700000060000);
+  ASSERT_EQ(this->reports[0].rateLimits.size(), 2u);
+  EXPECT_EQ(this->reports[0].rateLimits[0].id, "e-7");
+  EXPECT_EQ(this->reports[0].rateLimits[0].startedAtMillis, 1700000000000);
+  EXPECT_EQ(this->reports[0].rateLimits[0].callsPerSecond, 5.25);
+  EXPECT_EQ(this->reports[0].rateLimits[0].announcedAtMillis, 1700000060000);
+  EXPECT_EQ(this->reports[0].rateLimits[1].callsPerSecond, std::nullopt);
+  const QuarantineReport& quarantine = this->reports[0].quarantine;
+  ASSERT_EQ(quarantine.broken.size(), 1u);
+  EXPECT_EQ(quarantine.broken[0].call, "0123");
+  EXPECT_EQ(quarantine.broken[0].endpoint, "e-6@1700000000000");
+  EXPECT_EQ(quarantine.broken[0].sentAtMillis, 1700000050000);
+  EXPECT_EQ(quarantine.broken[0].brokenAtMillis, 1700000050100);
+  ASSERT_EQ(quarantine.cleared.size(), 1u);
+  EXPECT_EQ(quarantine.cleared[0].call, "4567");
+  EXPECT_EQ(quarantine.cleared[0].sentAtMillis, 1700000050000);
+  ASSERT_EQ(quarantine.down.size(), 1u);
+  EXPECT_EQ(quarantine.down[0].endpoint, "e-6@1700000000000");
+  EXPECT_EQ(quarantine.down[0].seenAtMillis, 1700000050200);
 }
 
 TEST_F(FleetLinkTest, AcceptsRestartWithEarlierClockAfterSilence)
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -31,7 +31,7 @@
                                kRetryAfterAtShutdown);
     return;
   }
-  if (!this->FindRoute() || !this->CheckApiKey()) {
+  if (!this->FindRoute() || !this->CheckApiKey() || !this->CheckQuarantine()) {
     return;
   }
   this->timer.expires_after(this->RemainingTime());
@@ -105,6 +105,29 @@
   return true;
 }
 
+bool
+CallFlow::CheckQuarantine()
+{
+  if (this->state.quarantine.Empty()) {
+    return true;
+  }
+  const auto quarantined =
+    this->state.quarantine.Find(this->Digest(), WallMillis());
+  if (!quarantined) {
+    return true;
+  }
+  std::string detail = "call " + this->Digest() + " crashed";
+  for (const std::string& endpoint : quarantined->endpoints) {
+    detail += " " + endpoint;
+  }
+  detail += "; refused for " +
+            std::to_string(quarantined->untilMillis - WallMillis()) + " ms";
+  this->Refuse(this->mayHaveExecuted ? RefusalReason::kEndpointFailed
+                                     : RefusalReason::kCallQuarantined,
+               detail);
+  return false;
+}
+
 void
 CallFlow::RefuseOverQuota()
 {
@@ -185,7 +208,8 @@
         self->ReserveTokens();
       } else if (std::get<HistoryMiss>(aResult) == HistoryMiss::kNoSuchTurn) {
         self->Refuse(RefusalReason::kProgramNotFound,
-                     "the previous turn does not exist");
+                     "the previous turn " + self->call.program->previousTurn +
+                       " does not exist");
       } else {
         self->RefuseWithRetryAfter(
           RefusalReason::kLogUnavailable,
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -92,6 +92,7 @@
     return;
   }
   this->endpointId = aPlacement.endpoint;
+  this->placed = true;
   const auto rateLimit = this->state.rateLimits.Find(aPlacement.endpoint);
   LogInfo("placed",
           this->WithCallIds(
@@ -104,7 +105,6 @@
     this->StartExchange();
     return;
   }
-  this->waitsForRate = true;
   this->state.endpointQuotaClient.Acquire(
     RateQuotaName(this->endpointId),
     this->deadline,
@@ -116,7 +116,6 @@
 void
 CallFlow::OnRateDecision(bool aAdmitted)
 {
-  this->waitsForRate = false;
   this->state.dependencies.metrics.Count(
     "tanagerseam_rate_limited_sends_total",
     { { "verdict", aAdmitted ? "sent" : "held" } });
@@ -139,6 +138,9 @@
 void
 CallFlow::StartExchange()
 {
+  if (!this->CheckQuarantine()) {
+    return;
+  }
   this->exchangeActive = true;
   const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
   if (endpoint == nullptr) {
@@ -214,6 +216,7 @@
 CallFlow::EndAttempt(AttemptResult aEnd)
 {
   this->exchangeActive = false;
+  this->placed = false;
   const TimePoint now = BootNow();
   AttemptOutcome outcome;
   outcome.result = aEnd;
@@ -244,6 +247,7 @@
                                : std::string(NameOf(aOutcome.error));
   this->state.dependencies.metrics.Count("tanagerseam_attempts_total",
                                          { { "result", result } });
+  this->RecordForQuarantine(aOutcome);
   if (aOutcome.error == EventError::kNone && this->relay->Head().notExecuted) {
     this->EndAttempt(AttemptResult::kRejected);
     this->OnNotExecuted("turned_away");
@@ -262,6 +266,32 @@
   this->state.SendQueuedCalls();
 }
 
+std::string
+CallFlow::Incarnation() const
+{
+  const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
+  const int64_t startedAtMillis =
+    endpoint == nullptr ? 0 : endpoint->startedAtMillis;
+  return IncarnationName(this->endpointId, startedAtMillis);
+}
+
+void
+CallFlow::RecordForQuarantine(const EventOutcome& aOutcome)
+{
+  CallQuarantine& quarantine = this->state.quarantine;
+  if (aOutcome.refusedConnection) {
+    quarantine.OnEndpointDown(this->Incarnation(), WallMillis());
+  } else if (aOutcome.error == EventError::kBroken && aOutcome.sent) {
+    quarantine.OnBroken({ this->Digest(),
+                          this->Incarnation(),
+                          this->sentAtMillis,
+                          WallMillis() });
+  } else if (aOutcome.error == EventError::kNone &&
+             !this->relay->Head().notExecuted && !quarantine.Empty()) {
+    quarantine.OnSucceeded(this->Digest(), this->sentAtMillis);
+  }
+}
+
 bool
 CallFlow::CanRetry() const
 {
@@ -486,8 +516,8 @@
   const TimePoint now = BootNow();
   if (this->exchangeActive) {
     this->relay->Cancel();
-    this->EndAttempt(AttemptResult::kCancelled);
-  } else if (this->waitsForRate) {
+  }
+  if (this->placed) {
     this->EndAttempt(AttemptResult::kCancelled);
   } else if (this->inDispatcher) {
     this->state.dispatcher.RemoveQueued(this->dispatchId);
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -44,6 +44,8 @@
   bool FindRoute();
   // Sets the organisation from the API key, if one is needed. False: refused.
   bool CheckApiKey();
+  // False: refused, since the call crashed the endpoints that ran it.
+  bool CheckQuarantine();
   // Takes one call out of the organisation's rate quota, then places the call.
   void AcquireQuota();
   void OnQuotaDecision(bool aAdmitted);
@@ -71,6 +73,10 @@
   void OnDone(const EventOutcome& aOutcome);
   // Reports the attempt's result to the dispatcher.
   void EndAttempt(AttemptResult aEnd);
+  // Tells the quarantine how an attempt ended.
+  void RecordForQuarantine(const EventOutcome& aOutcome);
+  // The incarnation of the endpoint to which the call was sent last.
+  std::string Incarnation() const;
   // The endpoint certainly did not execute the call: retries it, or refuses it
   // if no attempt is left.
   void OnNotExecuted(const char* aCause);
@@ -160,8 +166,8 @@
   // The last attempt; null before the first.
   std::shared_ptr<ResponseRelay> relay;
   bool exchangeActive = false;
-  // Placed, but not yet permitted by the endpoint's rate limit.
-  bool waitsForRate = false;
+  // The dispatcher counts this call as in flight at `endpointId`.
+  bool placed = false;
   // The dispatcher holds this call, queued or placed.
   bool inDispatcher = false;
   TimePoint sentAt{};
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -309,6 +309,8 @@
     hostReport.quotaReports = this->state.quota.OwnReports(now);
     hostReport.quotaReports.merge(this->state.endpointQuota.OwnReports(now));
     hostReport.leavingEndpoints = this->state.endpoints.Leaving();
+    this->state.quarantine.Expire(WallMillis());
+    hostReport.quarantine = this->state.quarantine.Report(WallMillis());
     hostReport.rateLimits = this->state.rateLimits.Announcements(WallMillis());
     this->state.dependencies.link.SendReport(std::move(hostReport));
     this->UpdateGauges(now);
@@ -348,6 +350,10 @@
     metrics.Set("tanagerseam_endpoints_with_rate_limit",
                 {},
                 static_cast<double>(this->state.rateLimits.Count()));
+    metrics.Set(
+      "tanagerseam_calls_quarantined",
+      {},
+      static_cast<double>(this->state.quarantine.Count(WallMillis())));
     metrics.Set("tanagerseam_members_heard",
                 {},
                 static_cast<double>(this->state.quota.ReachableMembers(aNow)));
@@ -366,6 +372,7 @@
       aReport.host, aReport.startTime, aReport.quotaReports, now);
     this->state.endpointQuota.OnPeerReport(
       aReport.host, aReport.startTime, aReport.quotaReports, now);
+    this->state.quarantine.OnPeerReport(aReport.quarantine);
     for (const LeavingEndpoint& announcement : aReport.leavingEndpoints) {
       this->state.MarkLeaving(announcement, "peer");
     }
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "gateway/quota_client.h"
 #include "gateway/response_relay.h"
 #include "gateway/turn_budgets.h"
+#include "quarantine/quarantine.h"
 
 namespace tanagerseam {
 
@@ -91,6 +92,7 @@
   HistoryService history;
   PeerTable peers;
   ConnectionPolicy connections;
+  CallQuarantine quarantine;
   MemberTable members;
   // Calls in the dispatcher, queued or placed, by dispatch id.
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -153,6 +153,7 @@
     outcome.error = ErrorOf(aCode, *exchange);
     outcome.status = exchange->headersTold ? exchange->status : 0;
     outcome.sent = exchange->timesSent > 0;
+    outcome.refusedConnection = aCode == CURLE_COULDNT_CONNECT;
     outcome.connectionUse = exchange->connectionUse;
     outcome.body = { exchange->framing, exchange->limits.BodyBytes() };
     if (outcome.error != EventError::kNone) {
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -134,6 +134,8 @@
   int status = 0;
   // False: the server has certainly not seen the request.
   bool sent = true;
+  // The last connection attempt was refused: nothing listens there.
+  bool refusedConnection = false;
   ConnectionUse connectionUse;
   ResponseBody body;
   std::string detail;
--- a/kernel/result.h
+++ b/kernel/result.h
@@ -48,6 +48,7 @@
   kOwnerUnavailable,
   kNotReady,
   kOverloaded,
+  kCallQuarantined,
   kVersionConflict,
   kInternalError,
 };
