--- /dev/null
+++ b/gateway/call_attempt.cc
@@ -0,0 +1,291 @@
+// Attempts of a call at endpoints, and retries.
+#include <algorithm>
+
+#include "gateway/call_flow.h"
+
+namespace tanagerseam {
+
+namespace {
+
+// Connection failures allowed on top of the route's maxAttempts. They do not
+// count as attempts because the endpoint has not received the call.
+constexpr size_t kMaxConnectFailures = 4;
+// The endpoint's deadline is earlier than the client's by this margin, which
+// leaves time for its response to arrive.
+constexpr Millis kResponseMargin(5);
+
+} // namespace
+
+void
+CallFlow::Send(const Placement& aPlacement)
+{
+  if (this->ended) {
+    this->state.dispatcher.OnAttemptEnded(
+      this->dispatchId, { AttemptResult::kCancelled }, BootNow());
+    return;
+  }
+  this->endpointId = aPlacement.endpoint;
+  this->placed = true;
+  const auto rateLimit = this->state.rateLimits.Find(aPlacement.endpoint);
+  LogInfo("placed",
+          this->WithCallIds(
+            { { "endpoint", aPlacement.endpoint },
+              { "rate_limit", rateLimit ? std::to_string(*rateLimit) : "" },
+              { "own_load", std::to_string(aPlacement.ownLoad) },
+              { "other_load", std::to_string(aPlacement.otherLoad) },
+              { "expected_ms", std::to_string(aPlacement.expectedMillis) } }));
+  if (!rateLimit) {
+    this->StartExchange();
+    return;
+  }
+  this->state.endpointQuotaClient.Acquire(
+    RateQuotaName(this->endpointId),
+    this->deadline,
+    [self = this->shared_from_this()](bool aAdmitted) {
+      self->OnRateDecision(aAdmitted);
+    });
+}
+
+void
+CallFlow::OnRateDecision(bool aAdmitted)
+{
+  this->state.dependencies.metrics.Count(
+    "tanagerseam_rate_limited_sends_total",
+    { { "verdict", aAdmitted ? "sent" : "held" } });
+  if (this->ended) {
+    if (aAdmitted) {
+      this->state.endpointQuota.RefundCall(RateQuotaName(this->endpointId));
+    }
+    return;
+  }
+  if (aAdmitted) {
+    this->StartExchange();
+    return;
+  }
+  LogInfo("held", this->WithCallIds({ { "endpoint", this->endpointId } }));
+  this->EndAttempt(AttemptResult::kRejected);
+  this->state.HoldEndpoint(this->endpointId);
+  this->Place();
+}
+
+void
+CallFlow::StartExchange()
+{
+  if (!this->CheckQuarantine()) {
+    return;
+  }
+  this->exchangeActive = true;
+  const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
+  if (endpoint == nullptr) {
+    this->EndAttempt(AttemptResult::kRejected);
+    this->OnNotExecuted("endpoint_gone");
+    return;
+  }
+  const std::string name =
+    this->organisation == nullptr ? "" : this->organisation->name;
+  const std::string body = this->priorTranscript
+                             ? *this->priorTranscript + this->call.body
+                             : this->call.body;
+  const Millis remaining = this->RemainingTime();
+  const Millis endpointTimeout =
+    std::max(Millis(1), remaining - kResponseMargin);
+  EventCall out = this->state.dependencies.dialect.BuildRequest(
+    this->call, *endpoint, name, body, endpointTimeout);
+  out.timeout = remaining + Millis(50);
+  out.connectTimeout = std::min(remaining, Millis(300));
+  out.ownConnection = this->state.connections.NeedsOwnConnection(
+    this->route->kind, this->service, BootNow());
+  this->triedEndpoints.insert(this->endpointId);
+  ++this->attempts;
+  this->sentAt = BootNow();
+  this->sentAtMillis = WallMillis();
+  this->firstEventAt = TimePoint{};
+  RelayHandlers handlers;
+  auto self = this->shared_from_this();
+  handlers.onHead = [self](EndpointResponseHead& aHead) {
+    self->OnHead(aHead);
+  };
+  handlers.onEvent = [self](std::string_view aData) {
+    return self->RecordEvent(aData);
+  };
+  handlers.onDone = [self](const EventOutcome& aOutcome) {
+    self->OnDone(aOutcome);
+  };
+  this->relay = this->state.MakeRelay(this->reply);
+  this->relay->Start(std::move(out), std::move(handlers));
+}
+
+void
+CallFlow::OnHead(EndpointResponseHead& aHead)
+{
+  if (aHead.leaving) {
+    this->state.MarkLeavingNow(this->endpointId, "response");
+  }
+  this->state.OnRateLimit(
+    this->endpointId, aHead.callsPerSecond, this->sentAtMillis);
+  if (aHead.leaving && this->call.forwarded) {
+    this->state.dependencies.dialect.AddLeavingEndpoint(aHead.headers,
+                                                        this->endpointId);
+  }
+  if (aHead.load) {
+    this->state.dispatcher.OnEndpointReport(
+      this->endpointId, aHead.load->running + aHead.load->waiting, BootNow());
+  }
+}
+
+void
+CallFlow::EndAttempt(AttemptResult aEnd)
+{
+  this->exchangeActive = false;
+  this->placed = false;
+  const TimePoint now = BootNow();
+  AttemptOutcome outcome;
+  outcome.result = aEnd;
+  outcome.duration = std::chrono::duration_cast<Millis>(now - this->sentAt);
+  if (this->firstEventAt != TimePoint{}) {
+    outcome.streamDuration =
+      std::chrono::duration_cast<Millis>(now - this->firstEventAt);
+    outcome.streamedTokens =
+      std::max<int64_t>(0, this->usedTokens - this->tokensPerEvent);
+  }
+  this->state.dispatcher.OnAttemptEnded(this->dispatchId, outcome, now);
+  this->inDispatcher = false;
+}
+
+void
+CallFlow::OnDone(const EventOutcome& aOutcome)
+{
+  if (this->ended || !this->exchangeActive) {
+    return;
+  }
+  this->lastExchange = aOutcome;
+  if (aOutcome.error == EventError::kForeignResponse ||
+      aOutcome.connectionUse.foundStrayBytes) {
+    this->state.connections.OnStrayResponse(this->service, BootNow());
+  }
+  const std::string result = aOutcome.error == EventError::kNone
+                               ? std::to_string(aOutcome.status)
+                               : std::string(NameOf(aOutcome.error));
+  this->state.dependencies.metrics.Count("tanagerseam_attempts_total",
+                                         { { "result", result } });
+  this->RecordForQuarantine(aOutcome);
+  if (aOutcome.error == EventError::kNone && this->relay->Head().notExecuted) {
+    this->EndAttempt(AttemptResult::kRejected);
+    this->OnNotExecuted("turned_away");
+  } else if (aOutcome.error == EventError::kNone) {
+    this->EndAttempt(AttemptResult::kSucceeded);
+    this->OnResponseComplete();
+  } else if (!aOutcome.sent) {
+    this->EndAttempt(AttemptResult::kUnreachable);
+    --this->attempts;
+    this->OnNotExecuted("unreachable");
+  } else {
+    this->EndAttempt(AttemptResult::kFailed);
+    this->mayHaveExecuted = true;
+    this->OnExchangeFailed(aOutcome);
+  }
+  this->state.SendQueuedCalls();
+}
+
+std::string
+CallFlow::Incarnation() const
+{
+  const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
+  const int64_t startedAtMillis =
+    endpoint == nullptr ? 0 : endpoint->startedAtMillis;
+  return IncarnationName(this->endpointId, startedAtMillis);
+}
+
+void
+CallFlow::RecordForQuarantine(const EventOutcome& aOutcome)
+{
+  CallQuarantine& quarantine = this->state.quarantine;
+  if (aOutcome.refusedConnection) {
+    quarantine.OnEndpointDown(this->Incarnation(), WallMillis());
+  } else if (aOutcome.error == EventError::kBroken && aOutcome.sent &&
+             this->state.endpoints.IsUsable(this->endpointId)) {
+    quarantine.OnBroken({ this->Digest(),
+                          this->Incarnation(),
+                          this->sentAtMillis,
+                          WallMillis() });
+  } else if (aOutcome.error == EventError::kNone &&
+             !this->relay->Head().notExecuted && !quarantine.Empty()) {
+    quarantine.OnSucceeded(this->Digest(), this->sentAtMillis);
+  }
+}
+
+bool
+CallFlow::CanRetry() const
+{
+  return this->attempts < this->route->maxAttempts &&
+         this->triedEndpoints.size() <
+           kMaxConnectFailures +
+             static_cast<size_t>(this->route->maxAttempts) &&
+         BootNow() < this->deadline;
+}
+
+void
+CallFlow::Retry()
+{
+  this->state.dependencies.metrics.Count("tanagerseam_retries_total", {});
+  this->Place();
+}
+
+void
+CallFlow::OnNotExecuted(const char* aCause)
+{
+  LogInfo("not_run",
+          this->WithCallIds(
+            { { "endpoint", this->endpointId },
+              { "why", aCause },
+              { "status", std::to_string(this->ResponseStatus()) } }));
+  if (this->CanRetry()) {
+    this->Retry();
+    return;
+  }
+  if (this->mayHaveExecuted) {
+    this->Refuse(RefusalReason::kEndpointFailed, aCause);
+    return;
+  }
+  this->RefuseWithRetryAfter(
+    RefusalReason::kOverloaded, aCause, this->DrawRetryAfter());
+}
+
+void
+CallFlow::OnExchangeFailed(const EventOutcome& aOutcome)
+{
+  LogInfo("broken",
+          this->WithExchange({ { "endpoint", this->endpointId },
+                               { "call", this->Digest() },
+                               { "error", std::string(NameOf(aOutcome.error)) },
+                               { "detail", aOutcome.detail } }));
+  if (this->relay->EventTooLong()) {
+    LogWarn("event_too_long",
+            this->WithCallIds({ { "endpoint", this->endpointId } }));
+  }
+  if (this->IsStreaming()) {
+    this->Abort("endpoint_broke_off");
+    return;
+  }
+  const bool idempotent = this->route->kind == CallKind::kIdempotent;
+  if (idempotent && this->CanRetry()) {
+    this->Retry();
+    return;
+  }
+  this->Refuse(idempotent ? RefusalReason::kEndpointFailed
+                          : RefusalReason::kOutcomeUnknown,
+               std::string(NameOf(aOutcome.error)));
+}
+
+void
+CallFlow::OnResponseComplete()
+{
+  if (this->IsStreaming()) {
+    this->PersistTurn();
+    return;
+  }
+  this->relay->SendWhole();
+  this->End("answered");
+}
+
+} // namespace tanagerseam
--- /dev/null
+++ b/gateway/gateway_state.cc
@@ -0,0 +1,261 @@
+// What all calls of one gateway share: what it believes about endpoints and
+// members, and the calls in the dispatcher.
+#include "gateway/gateway_state.h"
+
+#include <algorithm>
+
+#include "gateway/call_flow.h"
+
+namespace tanagerseam {
+
+namespace {
+
+// Calls per second that an endpoint gets at least. One that takes no calls can
+// only be seen to take some again by the response to a call.
+constexpr double kMinCallsPerSecond = 0.25;
+// Bounds on how long an endpoint is held whose rate is used up.
+constexpr double kMinHoldMillis = 25;
+constexpr double kMaxHoldMillis = 1000;
+// Shorter outages of the store leave the host ready, so that clients do not
+// notice them.
+constexpr Millis kStoreUnavailableAfter(700);
+
+DispatchSettings
+MakeDispatchSettings(const GatewaySettings& aSettings)
+{
+  DispatchSettings settings;
+  settings.zone = aSettings.zone;
+  settings.host = aSettings.host;
+  return settings;
+}
+
+ProgramSettings
+MakeProgramSettings(const GatewaySettings& aSettings)
+{
+  ProgramSettings settings;
+  settings.incarnation =
+    aSettings.host + "." + std::to_string(aSettings.startTime);
+  settings.budgets.partitionsPerTopic = aSettings.logPartitions;
+  settings.turns.partitionsPerTopic = aSettings.logPartitions;
+  return settings;
+}
+
+} // namespace
+
+GatewayState::GatewayState(GatewaySettings aSettings,
+                           GatewayDependencies aDependencies)
+  : settings(std::move(aSettings))
+  , dependencies(aDependencies)
+  , responseMemory(std::make_shared<ByteBudget>(settings.maxResponseBytes))
+  , dispatcher(MakeDispatchSettings(this->settings))
+  , quota(this->settings.host,
+          this->settings.startTime,
+          this->settings.quotaSlack)
+  , quotaClient(this->quota, aDependencies.link, aDependencies.metrics)
+  , endpointQuota(this->settings.host,
+                  this->settings.startTime,
+                  this->settings.endpointRateSlack)
+  , endpointQuotaClient(this->endpointQuota,
+                        aDependencies.link,
+                        aDependencies.metrics)
+  , persistentLog(aDependencies.io, aDependencies.log)
+  , budgets(this->persistentLog, MakeProgramSettings(this->settings))
+  , turnBudgets(this->settings.host,
+                aDependencies.link,
+                this->budgets,
+                this->persistentLog,
+                [this](const std::string& aOrganisation) {
+                  return this->quota.AdmitProgram(aOrganisation, BootNow());
+                })
+  , history(this->persistentLog, MakeProgramSettings(this->settings))
+  , random(std::random_device{}())
+{
+}
+
+Millis
+GatewayState::CatalogAge(TimePoint aNow) const
+{
+  return std::chrono::duration_cast<Millis>(aNow - this->catalogConfirmedAt);
+}
+
+bool
+GatewayState::CatalogFresh(TimePoint aNow) const
+{
+  return this->catalog &&
+         this->CatalogAge(aNow) <
+           this->settings.keyFreshness - this->settings.keyFreshnessMargin;
+}
+
+bool
+GatewayState::StoreUnavailable(TimePoint aNow) const
+{
+  return this->storeUnavailableSince != TimePoint{} &&
+         aNow - this->storeUnavailableSince > kStoreUnavailableAfter;
+}
+
+bool
+GatewayState::Ready(TimePoint aNow) const
+{
+  return !this->draining && this->endpointsConfirmed &&
+         this->membersConfirmed && this->CatalogFresh(aNow) &&
+         !this->StoreUnavailable(aNow);
+}
+
+void
+GatewayState::UpdateDispatcher()
+{
+  std::map<std::string, std::vector<DispatchEndpoint>> byService;
+  if (this->catalog) {
+    for (const ServiceEntry& service : this->catalog->Services()) {
+      byService[service.name];
+    }
+  }
+  for (auto& entry : byService) {
+    for (const EndpointEntry* endpoint : this->endpoints.Usable(entry.first)) {
+      entry.second.push_back({ endpoint->id,
+                               endpoint->zone,
+                               endpoint->slots,
+                               this->rateLimits.Find(endpoint->id) });
+    }
+    this->dispatcher.SetEndpoints(entry.first, entry.second);
+  }
+  this->RefuseUnservableCalls();
+}
+
+void
+GatewayState::MarkLeaving(const LeavingEndpoint& aAnnouncement,
+                          const char* aSource)
+{
+  if (!this->endpoints.MarkLeaving(aAnnouncement, BootNow())) {
+    return;
+  }
+  LogInfo("endpoint_leaving",
+          { { "endpoint", aAnnouncement.id },
+            { "source", aSource },
+            { "started", std::to_string(aAnnouncement.startedAtMillis) },
+            { "announced", std::to_string(aAnnouncement.announcedAtMillis) } });
+  this->UpdateDispatcher();
+}
+
+void
+GatewayState::MarkLeavingNow(const std::string& aEndpoint, const char* aSource)
+{
+  const EndpointEntry* entry = this->endpoints.Find(aEndpoint);
+  const int64_t startedAtMillis = entry == nullptr ? 0 : entry->startedAtMillis;
+  this->MarkLeaving({ aEndpoint, startedAtMillis, WallMillis() }, aSource);
+}
+
+void
+GatewayState::OnRateLimit(const std::string& aEndpoint,
+                          std::optional<double> aCallsPerSecond,
+                          int64_t aSentAtMillis)
+{
+  const EndpointEntry* entry = this->endpoints.Find(aEndpoint);
+  if (entry == nullptr) {
+    return;
+  }
+  const EndpointRateLimit announcement{
+    aEndpoint, entry->startedAtMillis, aCallsPerSecond, WallMillis()
+  };
+  if (this->rateLimits.OnResponse(announcement, aSentAtMillis)) {
+    this->OnRateLimitChanged(aEndpoint, "response");
+  }
+}
+
+void
+GatewayState::OnRateLimitChanged(const std::string& aEndpoint,
+                                 const char* aSource)
+{
+  const auto limit = this->rateLimits.Find(aEndpoint);
+  LogInfo(
+    "endpoint_rate_limit",
+    { { "endpoint", aEndpoint },
+      { "calls_per_second", limit ? std::to_string(*limit) : "unlimited" },
+      { "source", aSource } });
+  this->dispatcher.SetRateLimit(aEndpoint, limit);
+  const double callsPerSecond =
+    limit ? std::max(*limit, kMinCallsPerSecond) : 0;
+  const bool startFull = false;
+  this->endpointQuota.SetCap(
+    RateQuotaName(aEndpoint), { callsPerSecond, 0 }, startFull, BootNow());
+}
+
+void
+GatewayState::ForgetRateLimit(const std::string& aEndpoint)
+{
+  this->rateLimits.Forget(aEndpoint);
+  this->endpointQuota.RemoveOrganisation(RateQuotaName(aEndpoint));
+}
+
+void
+GatewayState::HoldEndpoint(const std::string& aEndpoint)
+{
+  const double limit =
+    std::max(this->rateLimits.Find(aEndpoint).value_or(0), kMinCallsPerSecond);
+  // Drawn, so that hosts do not ask for the same call.
+  std::uniform_real_distribution<double> factor(0.5, 1.5);
+  const double holdMillis = std::clamp(
+    1000 / limit * factor(this->random), kMinHoldMillis, kMaxHoldMillis);
+  this->dispatcher.HoldEndpoint(
+    aEndpoint, BootNow() + Millis(static_cast<int64_t>(holdMillis)));
+}
+
+void
+GatewayState::UpdateMembers()
+{
+  std::vector<std::string> hosts;
+  std::vector<FleetMember> others;
+  for (const FleetMember& member : this->members.Members()) {
+    hosts.push_back(member.host);
+    if (member.host != this->settings.host) {
+      others.push_back(member);
+    }
+  }
+  const Millis reportPeriod = FleetLink::ReportPeriod(others.size());
+  this->quota.SetMembers(hosts, reportPeriod);
+  this->endpointQuota.SetMembers(hosts, reportPeriod);
+  this->turnBudgets.SetMembers(hosts);
+  this->dispatcher.SetFleetSize(std::max<size_t>(1, hosts.size()));
+  this->dependencies.link.SetPeers(std::move(others));
+}
+
+std::shared_ptr<ResponseRelay>
+GatewayState::MakeRelay(const std::shared_ptr<EventReply>& aReply) const
+{
+  return std::make_shared<ResponseRelay>(this->dependencies.client,
+                                         this->dependencies.dialect,
+                                         aReply,
+                                         this->responseMemory);
+}
+
+std::shared_ptr<CallFlow>
+GatewayState::FindCall(uint64_t aDispatchId) const
+{
+  auto found = this->calls.find(aDispatchId);
+  return found == this->calls.end() ? nullptr : found->second.lock();
+}
+
+void
+GatewayState::RefuseUnservableCalls()
+{
+  for (const uint64_t id : this->dispatcher.DropUnservable(BootNow())) {
+    if (const auto call = this->FindCall(id)) {
+      call->OnUnservable();
+    }
+  }
+}
+
+void
+GatewayState::SendQueuedCalls()
+{
+  for (const Placement& placement : this->dispatcher.PlaceQueued(BootNow())) {
+    if (const auto call = this->FindCall(placement.callId)) {
+      call->Send(placement);
+    } else {
+      this->dispatcher.OnAttemptEnded(
+        placement.callId, { AttemptResult::kCancelled }, BootNow());
+    }
+  }
+}
+
+} // namespace tanagerseam
