A stopped gateway ends at once, not at the end of its grace time

Cause, as far as known: it hangs among the exit handlers that are registered after main begins; those of log4cplus are the only ones that wait for threads. Instrumented trials: GatewayProcess is destroyed 3 ms after stopped, the handler registered last runs, the one registered first in main never does.

Change: quick_exit once the log is flushed; nothing on the host has to be kept.

--- a/daemon/main/tanagerseamd.cc
+++ b/daemon/main/tanagerseamd.cc
@@ -7,6 +7,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <cstdlib>
 #include <iostream>
 
 #include "daemon/daemon.h"
@@ -66,7 +67,10 @@
     tanagerseam::LogError("cannot_run", { { "error", error.what() } });
     return kExitCannotStart;
   }
-  return 0;
+  // Without the exit handlers: those of the log library wait for its threads,
+  // and the host would stay out of service for as long.
+  tanagerseam::FlushLog();
+  std::quick_exit(0);
 }
 
 } // namespace
