Quarantine: a fatal input is found also where each turn's body repeats and extends it

Cause: the digest of a call includes its body. Class: an identity that is finer than the cause.

Ruled out: crashes that are not told from breaks (each of these calls had its breaks confirmed); knowledge that comes too late.

Change: a call has a second name without the body. Both count apart; a success on the path clears the path, so calls that share it with others are told by their bodies still.

--- a/call/call.h
+++ b/call/call.h
@@ -77,6 +77,11 @@
 std::string
 CallDigest(const ServiceCall& aCall, const std::string& aOrganisation);
 
+// The same without the body: calls of one conversation that repeat its history
+// in the body have other bodies with each turn.
+std::string
+CallPathDigest(const ServiceCall& aCall, const std::string& aOrganisation);
+
 // Calls at an endpoint, as it reports them.
 struct EndpointLoad
 {
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -111,12 +111,16 @@
   if (this->state.quarantine.Empty()) {
     return true;
   }
-  const auto quarantined =
-    this->state.quarantine.Find(this->Digest(), WallMillis());
+  std::string name = this->Digest();
+  auto quarantined = this->state.quarantine.Find(name, WallMillis());
+  if (!quarantined) {
+    name = this->PathDigest();
+    quarantined = this->state.quarantine.Find(name, WallMillis());
+  }
   if (!quarantined) {
     return true;
   }
-  std::string detail = "call " + this->Digest() + " crashed";
+  std::string detail = "call " + name + " crashed";
   for (const std::string& endpoint : quarantined->endpoints) {
     detail += " " + endpoint;
   }
@@ -193,10 +197,8 @@
     this->ReserveTokens();
     return;
   }
-  const std::string name =
-    this->organisation == nullptr ? "" : this->organisation->name;
   this->state.history.Find(
-    name,
+    this->OrganisationName(),
     this->call.program->previousTurn,
     this->RecordLogDeadline(),
     [self = this->shared_from_this()](const HistoryResult& aResult) {
@@ -240,8 +242,7 @@
   const int64_t maxTokens = std::max<int64_t>(this->call.maxOutputTokens, 1);
   TokenRequest request;
   request.program = this->programKey;
-  request.organisation =
-    this->organisation == nullptr ? "" : this->organisation->name;
+  request.organisation = this->OrganisationName();
   request.continuesProgram = !this->call.program->previousTurn.empty();
   request.programBudget = *this->call.program->tokenBudget;
   request.maxTokens = maxTokens;
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -81,8 +81,6 @@
     this->OnNotExecuted("endpoint_gone");
     return;
   }
-  const std::string name =
-    this->organisation == nullptr ? "" : this->organisation->name;
   const std::string body = this->priorTranscript
                              ? *this->priorTranscript + this->call.body
                              : this->call.body;
@@ -90,7 +88,7 @@
   const Millis endpointTimeout =
     std::max(Millis(1), remaining - kResponseMargin);
   EventCall out = this->state.dependencies.dialect.BuildRequest(
-    this->call, *endpoint, name, body, endpointTimeout);
+    this->call, *endpoint, this->OrganisationName(), body, endpointTimeout);
   out.timeout = remaining + Millis(50);
   out.connectTimeout = std::min(remaining, Millis(300));
   out.ownConnection = this->state.connections.NeedsOwnConnection(
@@ -204,13 +202,14 @@
     quarantine.OnEndpointDown(this->Incarnation(), WallMillis());
   } else if (aOutcome.error == EventError::kBroken && aOutcome.sent &&
              this->state.endpoints.IsUsable(this->endpointId)) {
-    quarantine.OnBroken({ this->Digest(),
-                          this->Incarnation(),
-                          this->sentAtMillis,
-                          WallMillis() });
+    for (const std::string& name : { this->Digest(), this->PathDigest() }) {
+      quarantine.OnBroken(
+        { name, this->Incarnation(), this->sentAtMillis, WallMillis() });
+    }
   } else if (aOutcome.error == EventError::kNone &&
              !this->relay->Head().notExecuted && !quarantine.Empty()) {
     quarantine.OnSucceeded(this->Digest(), this->sentAtMillis);
+    quarantine.OnSucceeded(this->PathDigest(), this->sentAtMillis);
   }
 }
 
@@ -257,6 +256,7 @@
   LogInfo("broken",
           this->WithExchange({ { "endpoint", this->endpointId },
                                { "call", this->Digest() },
+                               { "path", this->PathDigest() },
                                { "error", std::string(NameOf(aOutcome.error)) },
                                { "detail", aOutcome.detail } }));
   if (this->relay->EventTooLong()) {
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -51,13 +51,26 @@
 CallFlow::Digest()
 {
   if (this->digest.empty()) {
-    this->digest =
-      CallDigest(this->call,
-                 this->organisation == nullptr ? "" : this->organisation->name);
+    this->digest = CallDigest(this->call, this->OrganisationName());
   }
   return this->digest;
 }
 
+const std::string&
+CallFlow::PathDigest()
+{
+  if (this->pathDigest.empty()) {
+    this->pathDigest = CallPathDigest(this->call, this->OrganisationName());
+  }
+  return this->pathDigest;
+}
+
+std::string
+CallFlow::OrganisationName() const
+{
+  return this->organisation == nullptr ? "" : this->organisation->name;
+}
+
 LogFields
 CallFlow::WithCallIds(LogFields aFields) const
 {
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -118,8 +118,11 @@
   // Randomised Retry-After for a refused client, scaled to its remaining time.
   Millis DrawRetryAfter();
   Millis RemainingTime() const;
-  // See CallDigest.
+  // Empty on open routes.
+  std::string OrganisationName() const;
+  // See CallDigest and CallPathDigest.
   const std::string& Digest();
+  const std::string& PathDigest();
   // The status of the last attempt's response; 0 without a response.
   int ResponseStatus() const;
   // The head of an event stream has been sent to the client.
@@ -147,8 +150,9 @@
   // "organisation/program id": the same id in two organisations means two
   // programs.
   std::string programKey;
-  // Result of Digest; empty until it is first asked for.
+  // Results of Digest and PathDigest; empty until they are first asked for.
   std::string digest;
+  std::string pathDigest;
   bool quotaAcquired = false;
   // Budget tokens reserved for this turn; reset once settled.
   std::optional<TurnReservation> reservation;
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -29,8 +29,7 @@
   }
   CompletedTurn turn;
   turn.id = this->call.requestId;
-  turn.organisation =
-    this->organisation == nullptr ? "" : this->organisation->name;
+  turn.organisation = this->OrganisationName();
   turn.previous = this->call.program ? this->call.program->previousTurn : "";
   turn.input = this->call.body;
   turn.output = this->turnOutput.Text();
--- a/gateway/testing/gateway_quarantine_test.cc
+++ b/gateway/testing/gateway_quarantine_test.cc
@@ -45,6 +45,15 @@
                                 this->TurnRequest(id, "", aBody, 100000));
   }
 
+  // A turn of a new program on another path.
+  std::string AskElsewhere()
+  {
+    const std::string id = "t-" + std::to_string(this->nextId++);
+    std::string request = this->TurnRequest(id, "", "harmless", 100000);
+    request.replace(request.find("/ask/1"), 6, "/ask/2");
+    return this->SendAndReceive(this->host, request);
+  }
+
   // Sends the call until it was refused for crashing engines, or aTimes times.
   // True if it was refused.
   bool IsRefusedWithin(const std::string& aBody, int aTimes)
@@ -81,6 +90,31 @@
   EXPECT_EQ(StatusOf(this->Ask("harmless")), 200);
 }
 
+// Pattern: on a route that keeps no history, each turn's body repeats the fatal
+// input and adds to it.
+TEST_F(GatewayQuarantineTest, RefusesAPathWhoseCallsCrashEnginesWithOtherBodies)
+{
+  std::string body = "fatal";
+  bool refused = false;
+  for (int i = 0; i <= kEngines && !refused; ++i) {
+    body += " more";
+    // No call to that path ends well in between.
+    refused = this->Ask(body).find("call_quarantined") != std::string::npos;
+    this->AskElsewhere();
+  }
+  EXPECT_TRUE(refused);
+  EXPECT_LE(this->CrashedEngines(), 4);
+  EXPECT_EQ(StatusOf(this->AskElsewhere()), 200);
+}
+
+TEST_F(GatewayQuarantineTest, RefusesNoPathOnWhichOtherCallsSucceed)
+{
+  for (int i = 0; i < 4; ++i) {
+    this->Ask("fatal " + std::to_string(i));
+    EXPECT_EQ(StatusOf(this->Ask("harmless")), 200);
+  }
+}
+
 TEST_F(GatewayQuarantineTest, RefusesNoCallWhoseResponsesAreCut)
 {
   this->enginesCrash = false;
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -10,8 +10,11 @@
 //   HostReport: quarantine.Report(now)
 //   for each report of a peer: quarantine.OnPeerReport(report, now)
 //
-// A call is named by its CallDigest, so attempts with other request ids, in
-// other programs and through other hosts count as the same call.
+// A call has two names, which count apart: its CallDigest and its
+// CallPathDigest. So attempts with other request ids, in other programs and
+// through other hosts count as the same call, and so do the turns of a
+// conversation that each repeat its history in their bodies, as long as no call
+// to that path succeeds.
 //
 // Suspicion: all calls in flight on an endpoint break when it crashes, and most
 // of them are innocent. A break counts against a call only if the endpoint is
@@ -52,7 +55,7 @@
 // A connection ended while a call was in flight on it.
 struct BrokenCall
 {
-  // CallDigest of the call.
+  // One of the names of the call.
   std::string call;
   // The incarnation of the endpoint; see IncarnationName.
   std::string endpoint;
