--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -185,6 +185,17 @@
   return found == this->routeMillis.end() ? kDefaultRouteMillis : found->second;
 }
 
+double
+Dispatcher::MeanLoad(const std::vector<EndpointState*>& aStates,
+                     TimePoint aNow) const
+{
+  double load = 0;
+  for (const EndpointState* state : aStates) {
+    load += this->TotalLoad(*state, aNow);
+  }
+  return load / static_cast<double>(std::max<size_t>(1, aStates.size()));
+}
+
 const Dispatcher::EndpointState*
 Dispatcher::PreferredEndpoint(const std::vector<EndpointState*>& aStates,
                               const std::string& aGroup,
@@ -193,12 +204,11 @@
   if (aGroup.empty()) {
     return nullptr;
   }
-  double load = 0;
-  for (const EndpointState* state : aStates) {
-    load += this->TotalLoad(*state, aNow);
-  }
-  const double meanLoad =
-    load / static_cast<double>(std::max<size_t>(1, aStates.size()));
+  const bool anyLimited =
+    std::any_of(aStates.begin(), aStates.end(), [](const auto* aState) {
+      return aState->endpoint.callsPerSecond.has_value();
+    });
+  const double meanLoad = anyLimited ? this->MeanLoad(aStates, aNow) : 0;
   const auto rank = [this, &aGroup, meanLoad](const EndpointState* aState) {
     return std::make_tuple(this->FitsGroup(*aState, aGroup, meanLoad),
                            this->IsInOwnZone(*aState),
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -347,6 +347,8 @@
   bool FitsGroup(const EndpointState& aState,
                  const std::string& aGroup,
                  double aMeanLoad) const;
+  double MeanLoad(const std::vector<EndpointState*>& aStates,
+                  TimePoint aNow) const;
   // Estimated time until the call ends if it is sent to this endpoint.
   double EstimateMillis(const EndpointState& aState,
                         const DispatchCall& aCall,
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -115,7 +115,7 @@
   static constexpr Millis kReportTime{ 5000 };
   static constexpr size_t kMaxCalls = 1024;
   static constexpr size_t kMaxBreaksPerCall = 16;
-  static constexpr size_t kMaxDownEndpoints = 256;
+  static constexpr size_t kMaxDownEndpoints = 2048;
   // Bound on each list of a report.
   static constexpr size_t kMaxReported = 24;
 
