Rate limits of endpoints that are gone are forgotten by all hosts

What would be seen: nothing at first; memory and reports that grow with each endpoint that named a limit and left. Found by reading.

Cause: a host took a limit from a peer also for an endpoint without an entry, and told it on, so two hosts kept it alive between them; and an endpoint that was draining when its entry went was not forgotten at all. Class: knowledge passed on without an end.

Change: a limit needs an entry of the registry, and goes with it. A host hears again of a limit with the next report.

Evidence: LimitsOfEndpointsThatLeftAreForgotten; gateway_test 64 of 64, catalog_test 15 of 15.

--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -228,8 +228,9 @@
   // aCallsPerSecond or no limit. True if the limit in force changes.
   bool OnResponse(const EndpointRateLimit& aAnnouncement,
                   int64_t aSentAtMillis);
-  // Another host has heard aAnnouncement; aEntry is the registry's entry, null
-  // if there is none. True if the limit in force changes.
+  // Another host has heard aAnnouncement; aEntry is the registry's entry.
+  // Nothing is recorded without an entry: hosts would keep telling each other
+  // of an endpoint that is gone. True if the limit in force changes.
   bool OnPeerReport(const EndpointRateLimit& aAnnouncement,
                     const EndpointEntry* aEntry);
   // The registry's current entry. True if the limit in force changes.
--- a/catalog/endpoint_rate_limits.cc
+++ b/catalog/endpoint_rate_limits.cc
@@ -58,7 +58,7 @@
 EndpointRateLimits::OnPeerReport(const EndpointRateLimit& aAnnouncement,
                                  const EndpointEntry* aEntry)
 {
-  if (aEntry != nullptr && StartedAfter(*aEntry,
+  if (aEntry == nullptr || StartedAfter(*aEntry,
                                         aAnnouncement.startedAtMillis,
                                         aAnnouncement.announcedAtMillis)) {
     return false;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -257,6 +257,9 @@
     return;
   }
   state.endpoints.Remove(aId, BootNow());
+  if (state.endpoints.Find(aId) == nullptr) {
+    state.ForgetRateLimit(aId);
+  }
   const bool stillUsable = state.endpoints.IsUsable(aId);
   LogInfo(
     "endpoint_removed",
--- a/gateway/testing/gateway_endpoint_rate_test.cc
+++ b/gateway/testing/gateway_endpoint_rate_test.cc
@@ -192,5 +192,26 @@
   EXPECT_LE(this->tool.requests.size(), 1 + 2 * kMaxCallsUntilDeadline);
 }
 
+// Hosts once kept telling each other of the limits of endpoints that were gone.
+TEST_F(GatewayEndpointRateFleetTest, LimitsOfEndpointsThatLeftAreForgotten)
+{
+  constexpr char kLimited[] = "tanagerseam_endpoints_with_rate_limit";
+  EXPECT_EQ(this->CallsThatEndWith(200, this->host, 1), 1);
+  this->ExchangeReports();
+  EXPECT_EQ(this->peer.metrics.Value(kLimited, {}), 1);
+  for (GatewayHost* each : { &this->host, &this->peer }) {
+    EndpointEntry entry;
+    entry.id = "t-1";
+    entry.service = "tools";
+    entry.address = this->tool.Address();
+    entry.draining = true;
+    each->gateway.PutEndpoint(entry);
+    each->gateway.RemoveEndpoint("t-1");
+    this->ExchangeReports();
+  }
+  EXPECT_EQ(this->host.metrics.Value(kLimited, {}), 0);
+  EXPECT_EQ(this->peer.metrics.Value(kLimited, {}), 0);
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -215,8 +215,7 @@
   // without recent calls and programs.
   QuotaReports OwnReports(TimePoint aNow) const;
   QuotaStatus Status(const std::string& aOrganisation, TimePoint aNow) const;
-  // Number of members with a recent report that answer as owners, including
-  // this host.
+  // Number of members with a recent report, including this host.
   size_t ReachableMembers(TimePoint aNow) const;
 
 private:
