Soak: endpoints that name a rate for all gateways

A fault of its own: one endpoint names 3 to 10 calls a second for 10 s; the checker counts what it gets in any 4 s from 3 s after it first named the rate.

--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -25,6 +25,10 @@
 constexpr Millis kTerminationTimeout(9000);
 // Fraction of responses that endpoints corrupt during a fault of responses.
 constexpr double kCorruptedFraction = 0.3;
+// How long an endpoint names a rate, and the bounds of that rate.
+constexpr Millis kRateLimitDuration(10000);
+constexpr double kMinCallsPerSecond = 3;
+constexpr double kMaxCallsPerSecond = 10;
 // Fraction of requests that endpoints refuse during kEndpointErrors.
 constexpr double kRefusedFraction = 0.1;
 
@@ -49,6 +53,7 @@
   { SoakFault::kEndpointErrors, "endpoint_errors" },
   { SoakFault::kEndpointLateDuplicates, "endpoint_late_duplicates" },
   { SoakFault::kEndpointFraming, "endpoint_framing" },
+  { SoakFault::kEndpointRateLimit, "endpoint_rate_limit" },
   { SoakFault::kDrainEndpoint, "drain_endpoint" },
   { SoakFault::kChangeConfiguration, "change_configuration" },
   { SoakFault::kWithdrawKey, "withdraw_key" },
@@ -187,8 +192,8 @@
   endpoint.id = aId;
   endpoint.service = aService;
   endpoint.server = std::make_unique<RawEndpoint>(
-    this->io, [this, aLinked](const std::string& aRequest) {
-      return this->HandleRequest(aRequest, aLinked);
+    this->io, [this, aId, aLinked](const std::string& aRequest) {
+      return this->HandleRequest(aId, aRequest, aLinked);
     });
   if (aLinked) {
     const uint16_t linkPort = FreePort();
@@ -263,10 +268,37 @@
   return possible;
 }
 
+SoakFleet::Endpoint*
+SoakFleet::FindEndpoint(const std::string& aId)
+{
+  auto found = std::find_if(
+    this->endpoints.begin(),
+    this->endpoints.end(),
+    [&aId](const Endpoint& aEndpoint) { return aEndpoint.id == aId; });
+  return found == this->endpoints.end() ? nullptr : &*found;
+}
+
 PresetResponse
-SoakFleet::HandleRequest(const std::string& aRequest, bool aLinked)
+SoakFleet::NameRate(const std::string& aEndpoint, PresetResponse aResponse)
+{
+  const Endpoint* endpoint = this->FindEndpoint(aEndpoint);
+  if (endpoint == nullptr || BootNow() >= endpoint->rateEndsAt) {
+    return aResponse;
+  }
+  this->checker.OnRateNamed(aEndpoint, endpoint->callsPerSecond, BootNow());
+  aResponse.bytes.insert(
+    aResponse.bytes.find("X-Server-Seal"),
+    "Server-Limit: " + std::to_string(endpoint->callsPerSecond) + "\r\n");
+  return aResponse;
+}
+
+PresetResponse
+SoakFleet::HandleRequest(const std::string& aEndpoint,
+                         const std::string& aRequest,
+                         bool aLinked)
 {
   const std::string id = HeaderOf(aRequest, "X-Request-Id");
+  this->checker.OnRequestArrived(aEndpoint, BootNow());
   if (BootNow() < this->responseFaultsEndAt[SoakFault::kEndpointErrors] &&
       this->Chance(kRefusedFraction)) {
     return { "HTTP/1.1 503 X\r\nX-Request-Id: " + id +
@@ -278,7 +310,7 @@
   this->checker.OnResponseProduced(id, response.Text());
   const std::vector<ResponseFault> faults = this->PossibleFaults(aLinked);
   if (faults.empty() || !this->Chance(kCorruptedFraction)) {
-    return ToPreset(response);
+    return this->NameRate(aEndpoint, ToPreset(response));
   }
   const ResponseCorruption corruption =
     DrawCorruption(faults, this->randomEngine);
@@ -387,6 +419,16 @@
     case SoakFault::kEndpointFraming:
       this->responseFaultsEndAt[aFault] = aNow + duration;
       break;
+    case SoakFault::kEndpointRateLimit: {
+      if (aNow < endpoint.rateEndsAt) {
+        break;
+      }
+      std::uniform_real_distribution<double> rate(kMinCallsPerSecond,
+                                                  kMaxCallsPerSecond);
+      endpoint.callsPerSecond = rate(this->randomEngine);
+      endpoint.rateEndsAt = aNow + kRateLimitDuration;
+      break;
+    }
     case SoakFault::kDrainEndpoint:
       this->RegisterEndpoint(endpoint, "draining");
       endpoint.drainEndsAt = aNow + duration;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -48,6 +48,8 @@
   kEndpointLateDuplicates,
   // Responses whose head or body has no proper end.
   kEndpointFraming,
+  // An endpoint names the rate of calls that it takes from all gateways.
+  kEndpointRateLimit,
   kDrainEndpoint,
   kChangeConfiguration,
   kWithdrawKey,
@@ -125,6 +127,9 @@
     std::unique_ptr<standin::Link> link;
     TimePoint linkRestoreAt{};
     TimePoint drainEndsAt{};
+    // The rate that it names until rateEndsAt, in calls per second.
+    double callsPerSecond = 0;
+    TimePoint rateEndsAt{};
   };
 
   void AddEndpoints(const std::string& aService);
@@ -137,8 +142,14 @@
                         bool aLinked);
   void RegisterEndpoint(const Endpoint& aEndpoint, const std::string& aState);
   void WriteConfiguration();
-  testing_support::PresetResponse HandleRequest(const std::string& aRequest,
+  testing_support::PresetResponse HandleRequest(const std::string& aEndpoint,
+                                                const std::string& aRequest,
                                                 bool aLinked);
+  // The response as it should be, with the rate limit of the endpoint.
+  testing_support::PresetResponse NameRate(
+    const std::string& aEndpoint,
+    testing_support::PresetResponse aResponse);
+  Endpoint* FindEndpoint(const std::string& aId);
   // The faults that a response may have now.
   std::vector<ResponseFault> PossibleFaults(bool aLinked) const;
   void StepHost(Host& aHost, TimePoint aNow);
--- a/tests/soak/soak_judge.cc
+++ b/tests/soak/soak_judge.cc
@@ -135,6 +135,53 @@
   }
 }
 
+void
+SoakChecker::OnRequestArrived(const std::string& aEndpoint, TimePoint aAt)
+{
+  this->endpoints[aEndpoint].requestsAt.push_back(aAt);
+}
+
+void
+SoakChecker::OnRateNamed(const std::string& aEndpoint,
+                         double aCallsPerSecond,
+                         TimePoint aAt)
+{
+  std::vector<RateSpell>& spells = this->endpoints[aEndpoint].spells;
+  if (spells.empty() || spells.back().callsPerSecond != aCallsPerSecond) {
+    spells.push_back({ aCallsPerSecond, aAt, aAt });
+  }
+  spells.back().lastAt = aAt;
+}
+
+void
+SoakChecker::CheckRates(std::vector<std::string>& aViolations) const
+{
+  for (const auto& entry : this->endpoints) {
+    const std::vector<TimePoint>& requests = entry.second.requestsAt;
+    for (const RateSpell& spell : entry.second.spells) {
+      const double seconds = std::chrono::duration<double>(kRateWindow).count();
+      const double bound =
+        kRateFactor * spell.callsPerSecond * seconds + kRateTolerance;
+      auto last = requests.begin();
+      for (auto first = requests.begin(); first != requests.end(); ++first) {
+        const TimePoint end = std::min(*first + kRateWindow, spell.lastAt);
+        while (last != requests.end() && *last < end) {
+          ++last;
+        }
+        const bool binds =
+          *first >= spell.firstAt + kRateAdaptation && *first <= spell.lastAt;
+        if (binds && static_cast<double>(last - first) > bound) {
+          aViolations.push_back("rate_limit: " + entry.first + " got " +
+                                std::to_string(last - first) +
+                                " requests in a window, bound " +
+                                std::to_string(bound));
+          break;
+        }
+      }
+    }
+  }
+}
+
 void
 SoakChecker::OnResponseProduced(const std::string& aId,
                                 const std::string& aText)
@@ -291,6 +338,7 @@
   this->CheckExecutions(all);
   this->CheckBudgets(all);
   this->CheckQuota(all);
+  this->CheckRates(all);
   return all;
 }
 
--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -31,6 +31,11 @@
 //   most (rate x window + burst) x (1 + overageFraction) +
 //   toleranceExecutions.
 //
+// - rate_limit: from kRateAdaptation after an endpoint first named a rate and
+// while
+//   it names it, it gets in any kRateWindow at most kRateFactor times as many
+//   requests as that allows, and kRateTolerance more.
+//
 // All calls are kept until the end: a soak of one minute sends about 10,000.
 #ifndef TANAGERSEAM_TESTS_SOAK_SOAK_JUDGE_H_
 #define TANAGERSEAM_TESTS_SOAK_SOAK_JUDGE_H_
@@ -84,6 +89,11 @@
 class SoakChecker
 {
 public:
+  static constexpr Millis kRateAdaptation{ 3000 };
+  static constexpr Millis kRateWindow{ 4000 };
+  static constexpr double kRateFactor = 1.5;
+  static constexpr double kRateTolerance = 5;
+
   explicit SoakChecker(CheckerSettings aSettings);
 
   void OnCallSent(SentCall aCall);
@@ -93,6 +103,12 @@
                       const std::string& aOrganisation,
                       const std::string& aBody,
                       TimePoint aAt);
+  // A request arrived at an endpoint, which may refuse it.
+  void OnRequestArrived(const std::string& aEndpoint, TimePoint aAt);
+  // An endpoint named its rate in a response.
+  void OnRateNamed(const std::string& aEndpoint,
+                   double aCallsPerSecond,
+                   TimePoint aAt);
   // aText is the response body that the endpoint produced for the call.
   void OnResponseProduced(const std::string& aId, const std::string& aText);
   // aBytes are what a client received for the call, complete or not, as they
@@ -128,6 +144,18 @@
     int status = 0;
     bool complete = false;
   };
+  // The time in which an endpoint named one rate.
+  struct RateSpell
+  {
+    double callsPerSecond = 0;
+    TimePoint firstAt{};
+    TimePoint lastAt{};
+  };
+  struct EndpointRecord
+  {
+    std::vector<TimePoint> requestsAt;
+    std::vector<RateSpell> spells;
+  };
   struct ProgramTokens
   {
     int64_t budgetTokens = 0;
@@ -141,11 +169,13 @@
   void CheckExecutions(std::vector<std::string>& aViolations) const;
   void CheckBudgets(std::vector<std::string>& aViolations) const;
   void CheckQuota(std::vector<std::string>& aViolations) const;
+  void CheckRates(std::vector<std::string>& aViolations) const;
 
   CheckerSettings settings;
   std::unordered_map<std::string, CallRecord> calls;
   std::unordered_map<std::string, TimePoint> withdrawnAt;
   std::map<std::string, ProgramTokens> programs;
+  std::map<std::string, EndpointRecord> endpoints;
   std::vector<TimePoint> limitedExecutions;
   std::vector<std::string> violations;
   size_t completeResponses = 0;
--- a/tests/soak/soak_judge_test.cc
+++ b/tests/soak/soak_judge_test.cc
@@ -239,5 +239,30 @@
   EXPECT_EQ(this->ViolatedInvariant(), "quota");
 }
 
+TEST_F(SoakCheckerTest, ReportsMoreRequestsThanTheRateThatAnEndpointNames)
+{
+  // 1.5 x 2 x 4 + 5 requests in a window.
+  constexpr int kBound = 17;
+  for (int64_t at = 0; at <= 9000; at += 100) {
+    this->checker.OnRateNamed("e-1", 2, At(at));
+  }
+  {
+    SCOPED_TRACE("as it begins, the calls under way are excused");
+    for (int i = 0; i < 100; ++i) {
+      this->checker.OnRequestArrived("e-1", At(i * 29));
+    }
+    EXPECT_EQ(this->ViolatedInvariant(), "0 violations");
+  }
+  {
+    SCOPED_TRACE("then the bound holds");
+    for (int i = 0; i < kBound; ++i) {
+      this->checker.OnRequestArrived("e-1", At(4000 + i * 100));
+    }
+    EXPECT_EQ(this->ViolatedInvariant(), "0 violations");
+    this->checker.OnRequestArrived("e-1", At(7900));
+    EXPECT_EQ(this->ViolatedInvariant(), "rate_limit");
+  }
+}
+
 } // namespace
 } // namespace tanagerseam::soak
