--- a/call/call.h
+++ b/call/call.h
@@ -40,6 +40,16 @@
   std::optional<int64_t> tokenBudget;
 };
 
+// A call that goes on with an event stream that broke off.
+struct StreamResumption
+{
+  // Id of the client's attempt that brought the first event; empty if the
+  // client does not name it.
+  std::string firstRequest;
+  // Id of the last event that the client has; empty if it does not name it.
+  std::string lastEvent;
+};
+
 struct ServiceCall
 {
   // Unique for each attempt of the client.
@@ -58,6 +68,8 @@
   // Time until the client's deadline; unset if it sent none.
   std::optional<Millis> remainingTime;
   std::optional<ProgramContext> program;
+  // Unset for a call that begins anew.
+  std::optional<StreamResumption> resumption;
   int64_t promptTokens = 0;
   // Limit on generated tokens; 0 if the client sent none.
   int64_t maxOutputTokens = 0;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -173,6 +173,8 @@
   // "IP:port".
   std::string address;
   std::string zone;
+  // Of its software.
+  std::string version;
   // Number of calls that it runs concurrently.
   int slots = 1;
   bool draining = false;
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -27,9 +27,11 @@
   this->endpointId = aPlacement.endpoint;
   this->placed = true;
   const auto rateLimit = this->state.rateLimits.Find(aPlacement.endpoint);
+  const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
   LogInfo("placed",
           this->WithCallIds(
             { { "endpoint", aPlacement.endpoint },
+              { "version", endpoint == nullptr ? "" : endpoint->version },
               { "rate_limit", rateLimit ? std::to_string(*rateLimit) : "" },
               { "own_load", std::to_string(aPlacement.ownLoad) },
               { "other_load", std::to_string(aPlacement.otherLoad) },
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -79,6 +79,10 @@
     aFields.emplace_back("program", this->call.program->id);
     aFields.emplace_back("line", this->call.program->sessionId);
   }
+  if (this->call.resumption) {
+    aFields.emplace_back("resumes", this->call.resumption->firstRequest);
+    aFields.emplace_back("last_event", this->call.resumption->lastEvent);
+  }
   return aFields;
 }
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -245,6 +245,7 @@
           { { "endpoint", id },
             { "service", endpoint.service },
             { "address", endpoint.address },
+            { "version", endpoint.version },
             { "draining", endpoint.draining ? "true" : "false" } });
   state.UpdateDispatcher();
 }
--- a/tests/support/gateway_host.h
+++ b/tests/support/gateway_host.h
@@ -132,12 +132,13 @@
 inline std::string
 EndpointJson(const std::string& aService,
              const std::string& aAddress,
-             const std::string& aState)
+             const std::string& aState,
+             const std::string& aVersion = "v1")
 {
   const nlohmann::json entry = {
     { "service", aService }, { "address", aAddress }, { "zone", "zone-a" },
-    { "slots", 8 },          { "state", aState },     { "cold-left-ms", 0 },
-    { "sequence", 1 }
+    { "version", aVersion }, { "slots", 8 },          { "state", aState },
+    { "cold-left-ms", 0 },   { "sequence", 1 }
   };
   return entry.dump();
 }
