--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -279,7 +279,9 @@
   std::vector<EndpointState*> notEjected;
   for (auto& entry : this->endpoints) {
     EndpointState& state = entry.second;
-    if (state.service != aCall.service || !state.takesCalls ||
+    const bool rightVersion =
+      !aCall.version || *aCall.version == state.endpoint.version;
+    if (state.service != aCall.service || !state.takesCalls || !rightVersion ||
         aCall.excludedEndpoints.count(entry.first) > 0) {
       continue;
     }
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -106,6 +106,8 @@
   int slots = 1;
   // Calls per second that it takes from all hosts; unset for no limit.
   std::optional<double> callsPerSecond;
+  // Of its software.
+  std::string version;
 };
 
 // A call to be placed on an endpoint.
@@ -132,6 +134,8 @@
   // 0 for services that do not generate tokens.
   int64_t maxOutputTokens = 0;
   std::set<std::string> excludedEndpoints;
+  // Only endpoints of this software version may get the call; any, if unset.
+  std::optional<std::string> version;
 };
 
 // A call and the endpoint to send it to now. The call counts as in flight until
--- a/dispatch/testing/dispatch_test.cc
+++ b/dispatch/testing/dispatch_test.cc
@@ -365,6 +365,50 @@
   EXPECT_EQ(this->dispatcher.QueuedCalls(), 0u);
 }
 
+// Pattern: two versions serve side by side, and streams that broke off are
+// taken up at the version that began them, also while that one is the busier
+// one.
+TEST_F(DispatcherTest, PlacesACallThatIsBoundToAVersionThereOnly)
+{
+  this->dispatcher.SetEndpoints("drafting",
+                                { { "old", "zone-b", 1, {}, "v1" },
+                                  { "new-1", "zone-a", 2, {}, "v2" },
+                                  { "new-2", "zone-a", 2, {}, "v2" } });
+  DispatchCall bound = this->NewCall();
+  bound.version = "v1";
+  EXPECT_EQ(this->Submit(bound, 0), "old");
+  {
+    SCOPED_TRACE("it waits for its version, though others have room");
+    DispatchCall waiting = this->NewCall();
+    waiting.version = "v1";
+    EXPECT_EQ(this->Submit(waiting, 1), "queued");
+    EXPECT_TRUE(this->dispatcher.PlaceQueued(At(2)).empty());
+    this->dispatcher.OnAttemptEnded(
+      bound.id, { AttemptResult::kSucceeded, Millis(20) }, At(20));
+    const auto next = this->dispatcher.PlaceQueued(At(20));
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_EQ(next[0].endpoint, "old");
+  }
+  {
+    SCOPED_TRACE("it is refused at once when its version is gone");
+    this->dispatcher.SetEndpoints("drafting",
+                                  { { "new-1", "zone-a", 2, {}, "v2" } });
+    DispatchCall late = this->NewCall();
+    late.version = "v1";
+    EXPECT_EQ(this->Submit(late, 30), "refused");
+    EXPECT_EQ(this->Submit(this->NewCall(), 30), "new-1");
+  }
+  {
+    SCOPED_TRACE("an endpoint that started again with another version is no "
+                 "longer of its version");
+    this->dispatcher.SetEndpoints("drafting",
+                                  { { "new-1", "zone-a", 2, {}, "v1" } });
+    DispatchCall late = this->NewCall();
+    late.version = "v2";
+    EXPECT_EQ(this->Submit(late, 40), "refused");
+  }
+}
+
 TEST_F(DispatcherTest, PlacesNothingOnRemovedEndpoints)
 {
   this->dispatcher.SetEndpoints("drafting", { { "far", "zone-b", 2 } });
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -1,5 +1,6 @@
 // Messages between the hosts of the fleet: periodic load reports, reservations
-// of tokens from a program's budget, and calls on an organisation's quota.
+// of tokens from a program's budget, calls on an organisation's quota, and
+// where event streams began.
 //
 //   FleetLink link(io, { "host-1", startTime, "10.0.0.1", 7780 });
 //   link.SetHandlers(handlers);
@@ -8,6 +9,8 @@
 //   uint64_t reservation = link.Reserve("host-2", request, wait, done);
 //   link.Settle("host-2", reservation, 144);
 //   link.AcquireQuota("host-2", OrganisationHash("ski-club"), wait, done);
+//   link.TellStreamBegan("host-2", stream, { "engines", "v1.2" });
+//   link.FindStream("host-2", stream, wait, done);
 //
 // Each message is a FlatBuffer in one UDP datagram, so there is no connection
 // that could stall. A lost report is superseded by the next one. A request is
@@ -35,6 +38,7 @@
 #include "kernel/kernel.h"
 #include "quarantine/quarantine.h"
 #include "quota/quota.h"
+#include "resumption/resumption.h"
 
 namespace tanagerseam {
 
@@ -111,6 +115,15 @@
   kNoAnswer,
 };
 
+// What a host says of a stream.
+struct StreamAnswer
+{
+  // False: no answer in time.
+  bool answered = false;
+  // Unset if the host does not know the stream.
+  std::optional<StreamOrigin> origin;
+};
+
 // Handlers for the messages of peers.
 struct FleetHandlers
 {
@@ -127,6 +140,10 @@
   std::function<QuotaAnswer(const std::string& aHost,
                             uint64_t aOrganisationHash)>
     onAcquireQuota;
+  // A stream has begun at a peer.
+  std::function<void(uint64_t aStream, const StreamOrigin&)> onStreamBegan;
+  // Where the stream began; null if this host does not know it.
+  std::function<const StreamOrigin*(uint64_t aStream)> onFindStream;
 };
 
 struct FleetLinkSettings
@@ -186,6 +203,16 @@
                     uint64_t aOrganisationHash,
                     Millis aWait,
                     std::function<void(QuotaAnswer)> aDone);
+  // Has no effect for a host that is not a peer.
+  void TellStreamBegan(const std::string& aHost,
+                       uint64_t aStream,
+                       const StreamOrigin& aOrigin);
+  // Asks aHost where a stream began. There is no answer after aWait, and from a
+  // host that is not a peer.
+  void FindStream(const std::string& aHost,
+                  uint64_t aStream,
+                  Millis aWait,
+                  std::function<void(const StreamAnswer&)> aDone);
   bool IsPeer(const std::string& aHost) const;
 
 private:
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -35,11 +35,40 @@
                                     : ReserveStatus::kUnavailable;
 }
 
+// aResponse: null if there was none in time.
+ReserveResponse
+ReserveResponseOf(const fleetwire::DatagramT* aResponse)
+{
+  const fleetwire::TokensReservedT* table =
+    aResponse == nullptr ? nullptr : aResponse->body.AsTokensReserved();
+  if (table == nullptr) {
+    return { ReserveStatus::kNoAnswer, false };
+  }
+  return { StatusFromWire(table->verdict), table->begins };
+}
+
+StreamAnswer
+StreamAnswerOf(const fleetwire::DatagramT* aResponse)
+{
+  const fleetwire::StreamFoundT* table =
+    aResponse == nullptr ? nullptr : aResponse->body.AsStreamFound();
+  StreamAnswer answer;
+  answer.answered = table != nullptr;
+  if (answer.answered && !table->version.empty()) {
+    answer.origin = StreamOrigin{ table->service, table->version };
+  }
+  return answer;
+}
+
 } // namespace
 
 struct FleetLink::Impl
 {
-  // A reservation awaiting its response, or a settlement awaiting its
+  // Null: no response in time.
+  using ResponseHandler =
+    std::function<void(const fleetwire::DatagramT* aResponse)>;
+
+  // A request awaiting its response, or a settlement awaiting its
   // acknowledgement.
   struct PendingRequest
   {
@@ -52,7 +81,7 @@
     TimePoint deadline{};
     int attemptsLeft = 0;
     asio::steady_timer timer;
-    std::function<void(ReserveResponse)> done;
+    ResponseHandler done;
   };
   // A reservation or a call on a quota that a peer has requested.
   struct PeerRequest
@@ -115,7 +144,7 @@
   void Request(const std::string& aHost,
                const Table& aTable,
                Millis aWait,
-               std::function<void(ReserveResponse)> aDone)
+               ResponseHandler aDone)
   {
     auto pending = std::make_unique<PendingRequest>(this->io);
     pending->host = aHost;
@@ -142,7 +171,7 @@
     const bool expired = BootNow() >= pending.deadline ||
                          pending.attemptsLeft == 0 || peer == this->peers.end();
     if (expired) {
-      this->Complete(aId, { ReserveStatus::kNoAnswer, false });
+      this->Complete(aId, nullptr);
       return;
     }
     --pending.attemptsLeft;
@@ -155,7 +184,7 @@
     });
   }
 
-  void Complete(uint64_t aId, ReserveResponse aResponse)
+  void Complete(uint64_t aId, const fleetwire::DatagramT* aResponse)
   {
     auto found = this->pendingRequests.find(aId);
     if (found == this->pendingRequests.end()) {
@@ -205,12 +234,9 @@
       case fleetwire::Body::ReserveTokens:
         this->HandleReserve(datagram);
         break;
-      case fleetwire::Body::TokensReserved: {
-        const auto* response = datagram.body.AsTokensReserved();
-        this->Complete(response->request,
-                       { StatusFromWire(response->verdict), response->begins });
+      case fleetwire::Body::TokensReserved:
+        this->Complete(datagram.body.AsTokensReserved()->request, &datagram);
         break;
-      }
       case fleetwire::Body::AcquireQuota:
         this->HandleAcquireQuota(datagram);
         break;
@@ -218,8 +244,16 @@
         this->HandleSettle(datagram);
         break;
       case fleetwire::Body::TokensSettled:
-        this->Complete(datagram.body.AsTokensSettled()->request,
-                       { ReserveStatus::kReserved, false });
+        this->Complete(datagram.body.AsTokensSettled()->request, &datagram);
+        break;
+      case fleetwire::Body::StreamBegan:
+        this->HandleStreamBegan(*datagram.body.AsStreamBegan());
+        break;
+      case fleetwire::Body::FindStream:
+        this->HandleFindStream(*datagram.body.AsFindStream());
+        break;
+      case fleetwire::Body::StreamFound:
+        this->Complete(datagram.body.AsStreamFound()->request, &datagram);
         break;
       default:
         LogWarn("peer_message_unknown", { { "from", datagram.host } });
@@ -399,6 +433,23 @@
     }
   }
 
+  void HandleStreamBegan(const fleetwire::StreamBeganT& aTable)
+  {
+    this->handlers.onStreamBegan(aTable.stream,
+                                 { aTable.service, aTable.version });
+  }
+
+  void HandleFindStream(const fleetwire::FindStreamT& aTable)
+  {
+    fleetwire::StreamFoundT response;
+    response.request = aTable.request;
+    if (const auto* origin = this->handlers.onFindStream(aTable.stream)) {
+      response.service = origin->service;
+      response.version = origin->version;
+    }
+    this->SendTo(this->sender, this->Encode(response));
+  }
+
   void OnReserved(const std::string& aHost,
                   uint64_t aId,
                   const TokenRequest& aRequest,
@@ -524,8 +575,45 @@
   table.request = this->impl->nextRequestId++;
   table.organisation = aOrganisationHash;
   this->impl->Request(
-    aHost, table, aWait, [done = std::move(aDone)](ReserveResponse aResponse) {
-      done(Impl::AnswerOf(aResponse.status));
+    aHost,
+    table,
+    aWait,
+    [done = std::move(aDone)](const fleetwire::DatagramT* aResponse) {
+      done(Impl::AnswerOf(ReserveResponseOf(aResponse).status));
+    });
+}
+
+void
+FleetLink::TellStreamBegan(const std::string& aHost,
+                           uint64_t aStream,
+                           const StreamOrigin& aOrigin)
+{
+  auto peer = this->impl->peers.find(aHost);
+  if (peer == this->impl->peers.end()) {
+    return;
+  }
+  fleetwire::StreamBeganT table;
+  table.stream = aStream;
+  table.service = aOrigin.service;
+  table.version = aOrigin.version;
+  this->impl->SendTo(peer->second, this->impl->Encode(table));
+}
+
+void
+FleetLink::FindStream(const std::string& aHost,
+                      uint64_t aStream,
+                      Millis aWait,
+                      std::function<void(const StreamAnswer&)> aDone)
+{
+  fleetwire::FindStreamT table;
+  table.request = this->impl->nextRequestId++;
+  table.stream = aStream;
+  this->impl->Request(
+    aHost,
+    table,
+    aWait,
+    [done = std::move(aDone)](const fleetwire::DatagramT* aResponse) {
+      done(StreamAnswerOf(aResponse));
     });
 }
 
@@ -543,7 +631,13 @@
   table.budget = aRequest.programBudget;
   table.most = aRequest.maxTokens;
   table.wait_ms = static_cast<uint32_t>(std::max<int64_t>(1, aWait.count()));
-  this->impl->Request(aHost, table, aWait, std::move(aDone));
+  this->impl->Request(
+    aHost,
+    table,
+    aWait,
+    [done = std::move(aDone)](const fleetwire::DatagramT* aResponse) {
+      done(ReserveResponseOf(aResponse));
+    });
   return table.request;
 }
 
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -65,6 +65,18 @@
 struct TokensSettledBuilder;
 struct TokensSettledT;
 
+struct StreamBegan;
+struct StreamBeganBuilder;
+struct StreamBeganT;
+
+struct FindStream;
+struct FindStreamBuilder;
+struct FindStreamT;
+
+struct StreamFound;
+struct StreamFoundBuilder;
+struct StreamFoundT;
+
 struct Datagram;
 struct DatagramBuilder;
 struct DatagramT;
@@ -77,11 +89,14 @@
   SettleTokens = 4,
   TokensSettled = 5,
   AcquireQuota = 6,
+  StreamBegan = 7,
+  FindStream = 8,
+  StreamFound = 9,
   MIN = NONE,
-  MAX = AcquireQuota
+  MAX = StreamFound
 };
 
-inline const Body (&EnumValuesBody())[7] {
+inline const Body (&EnumValuesBody())[10] {
   static const Body values[] = {
     Body::NONE,
     Body::LoadReport,
@@ -89,13 +104,16 @@
     Body::TokensReserved,
     Body::SettleTokens,
     Body::TokensSettled,
-    Body::AcquireQuota
+    Body::AcquireQuota,
+    Body::StreamBegan,
+    Body::FindStream,
+    Body::StreamFound
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[8] = {
+  static const char * const names[11] = {
     "NONE",
     "LoadReport",
     "ReserveTokens",
@@ -103,13 +121,16 @@
     "SettleTokens",
     "TokensSettled",
     "AcquireQuota",
+    "StreamBegan",
+    "FindStream",
+    "StreamFound",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AcquireQuota)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StreamFound)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -142,6 +163,18 @@
   static const Body enum_value = Body::AcquireQuota;
 };
 
+template<> struct BodyTraits<tanagerseam::fleetwire::StreamBegan> {
+  static const Body enum_value = Body::StreamBegan;
+};
+
+template<> struct BodyTraits<tanagerseam::fleetwire::FindStream> {
+  static const Body enum_value = Body::FindStream;
+};
+
+template<> struct BodyTraits<tanagerseam::fleetwire::StreamFound> {
+  static const Body enum_value = Body::StreamFound;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -170,6 +203,18 @@
   static const Body enum_value = Body::AcquireQuota;
 };
 
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::StreamBeganT> {
+  static const Body enum_value = Body::StreamBegan;
+};
+
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::FindStreamT> {
+  static const Body enum_value = Body::FindStream;
+};
+
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::StreamFoundT> {
+  static const Body enum_value = Body::StreamFound;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -248,6 +293,30 @@
     return type == Body::AcquireQuota ?
       reinterpret_cast<const tanagerseam::fleetwire::AcquireQuotaT *>(value) : nullptr;
   }
+  tanagerseam::fleetwire::StreamBeganT *AsStreamBegan() {
+    return type == Body::StreamBegan ?
+      reinterpret_cast<tanagerseam::fleetwire::StreamBeganT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::StreamBeganT *AsStreamBegan() const {
+    return type == Body::StreamBegan ?
+      reinterpret_cast<const tanagerseam::fleetwire::StreamBeganT *>(value) : nullptr;
+  }
+  tanagerseam::fleetwire::FindStreamT *AsFindStream() {
+    return type == Body::FindStream ?
+      reinterpret_cast<tanagerseam::fleetwire::FindStreamT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::FindStreamT *AsFindStream() const {
+    return type == Body::FindStream ?
+      reinterpret_cast<const tanagerseam::fleetwire::FindStreamT *>(value) : nullptr;
+  }
+  tanagerseam::fleetwire::StreamFoundT *AsStreamFound() {
+    return type == Body::StreamFound ?
+      reinterpret_cast<tanagerseam::fleetwire::StreamFoundT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::StreamFoundT *AsStreamFound() const {
+    return type == Body::StreamFound ?
+      reinterpret_cast<const tanagerseam::fleetwire::StreamFoundT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1478,6 +1547,267 @@
 
 flatbuffers::Offset<TokensSettled> CreateTokensSettled(flatbuffers::FlatBufferBuilder &_fbb, const TokensSettledT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StreamBeganT : public flatbuffers::NativeTable {
+  typedef StreamBegan TableType;
+  uint64_t stream = 0;
+  std::string service{};
+  std::string version{};
+};
+
+struct StreamBegan FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamBeganT NativeTableType;
+  typedef StreamBeganBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAM = 4,
+    VT_SERVICE = 6,
+    VT_VERSION = 8
+  };
+  uint64_t stream() const {
+    return GetField<uint64_t>(VT_STREAM, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           verifier.EndTable();
+  }
+  StreamBeganT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamBeganT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamBegan> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamBeganT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamBeganBuilder {
+  typedef StreamBegan Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stream(uint64_t stream) {
+    fbb_.AddElement<uint64_t>(StreamBegan::VT_STREAM, stream, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(StreamBegan::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(StreamBegan::VT_VERSION, version);
+  }
+  explicit StreamBeganBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamBegan> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamBegan>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamBegan> CreateStreamBegan(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t stream = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
+  StreamBeganBuilder builder_(_fbb);
+  builder_.add_stream(stream);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct StreamBegan::Traits {
+  using type = StreamBegan;
+  static auto constexpr Create = CreateStreamBegan;
+};
+
+inline flatbuffers::Offset<StreamBegan> CreateStreamBeganDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t stream = 0,
+    const char *service = nullptr,
+    const char *version = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return tanagerseam::fleetwire::CreateStreamBegan(
+      _fbb,
+      stream,
+      service__,
+      version__);
+}
+
+flatbuffers::Offset<StreamBegan> CreateStreamBegan(flatbuffers::FlatBufferBuilder &_fbb, const StreamBeganT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FindStreamT : public flatbuffers::NativeTable {
+  typedef FindStream TableType;
+  uint64_t request = 0;
+  uint64_t stream = 0;
+};
+
+struct FindStream FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FindStreamT NativeTableType;
+  typedef FindStreamBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_STREAM = 6
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint64_t stream() const {
+    return GetField<uint64_t>(VT_STREAM, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           verifier.EndTable();
+  }
+  FindStreamT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FindStreamT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FindStream> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FindStreamBuilder {
+  typedef FindStream Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(FindStream::VT_REQUEST, request, 0);
+  }
+  void add_stream(uint64_t stream) {
+    fbb_.AddElement<uint64_t>(FindStream::VT_STREAM, stream, 0);
+  }
+  explicit FindStreamBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FindStream> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FindStream>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FindStream> CreateFindStream(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint64_t stream = 0) {
+  FindStreamBuilder builder_(_fbb);
+  builder_.add_stream(stream);
+  builder_.add_request(request);
+  return builder_.Finish();
+}
+
+struct FindStream::Traits {
+  using type = FindStream;
+  static auto constexpr Create = CreateFindStream;
+};
+
+flatbuffers::Offset<FindStream> CreateFindStream(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamFoundT : public flatbuffers::NativeTable {
+  typedef StreamFound TableType;
+  uint64_t request = 0;
+  std::string service{};
+  std::string version{};
+};
+
+struct StreamFound FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamFoundT NativeTableType;
+  typedef StreamFoundBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_SERVICE = 6,
+    VT_VERSION = 8
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           verifier.EndTable();
+  }
+  StreamFoundT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamFoundT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamFound> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamFoundT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamFoundBuilder {
+  typedef StreamFound Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(StreamFound::VT_REQUEST, request, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(StreamFound::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(StreamFound::VT_VERSION, version);
+  }
+  explicit StreamFoundBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamFound> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamFound>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamFound> CreateStreamFound(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
+  StreamFoundBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct StreamFound::Traits {
+  using type = StreamFound;
+  static auto constexpr Create = CreateStreamFound;
+};
+
+inline flatbuffers::Offset<StreamFound> CreateStreamFoundDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *service = nullptr,
+    const char *version = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return tanagerseam::fleetwire::CreateStreamFound(
+      _fbb,
+      request,
+      service__,
+      version__);
+}
+
+flatbuffers::Offset<StreamFound> CreateStreamFound(flatbuffers::FlatBufferBuilder &_fbb, const StreamFoundT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct DatagramT : public flatbuffers::NativeTable {
   typedef Datagram TableType;
   std::string host{};
@@ -1526,6 +1856,15 @@
   const tanagerseam::fleetwire::AcquireQuota *body_as_AcquireQuota() const {
     return body_type() == tanagerseam::fleetwire::Body::AcquireQuota ? static_cast<const tanagerseam::fleetwire::AcquireQuota *>(body()) : nullptr;
   }
+  const tanagerseam::fleetwire::StreamBegan *body_as_StreamBegan() const {
+    return body_type() == tanagerseam::fleetwire::Body::StreamBegan ? static_cast<const tanagerseam::fleetwire::StreamBegan *>(body()) : nullptr;
+  }
+  const tanagerseam::fleetwire::FindStream *body_as_FindStream() const {
+    return body_type() == tanagerseam::fleetwire::Body::FindStream ? static_cast<const tanagerseam::fleetwire::FindStream *>(body()) : nullptr;
+  }
+  const tanagerseam::fleetwire::StreamFound *body_as_StreamFound() const {
+    return body_type() == tanagerseam::fleetwire::Body::StreamFound ? static_cast<const tanagerseam::fleetwire::StreamFound *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1565,6 +1904,18 @@
   return body_as_AcquireQuota();
 }
 
+template<> inline const tanagerseam::fleetwire::StreamBegan *Datagram::body_as<tanagerseam::fleetwire::StreamBegan>() const {
+  return body_as_StreamBegan();
+}
+
+template<> inline const tanagerseam::fleetwire::FindStream *Datagram::body_as<tanagerseam::fleetwire::FindStream>() const {
+  return body_as_FindStream();
+}
+
+template<> inline const tanagerseam::fleetwire::StreamFound *Datagram::body_as<tanagerseam::fleetwire::StreamFound>() const {
+  return body_as_StreamFound();
+}
+
 struct DatagramBuilder {
   typedef Datagram Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2044,6 +2395,99 @@
       _request);
 }
 
+inline StreamBeganT *StreamBegan::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamBeganT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamBegan::UnPackTo(StreamBeganT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = stream(); _o->stream = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+}
+
+inline flatbuffers::Offset<StreamBegan> StreamBegan::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamBeganT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamBegan(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamBegan> CreateStreamBegan(flatbuffers::FlatBufferBuilder &_fbb, const StreamBeganT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamBeganT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _stream = _o->stream;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  return tanagerseam::fleetwire::CreateStreamBegan(
+      _fbb,
+      _stream,
+      _service,
+      _version);
+}
+
+inline FindStreamT *FindStream::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FindStreamT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FindStream::UnPackTo(FindStreamT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = stream(); _o->stream = _e; }
+}
+
+inline flatbuffers::Offset<FindStream> FindStream::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFindStream(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FindStream> CreateFindStream(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FindStreamT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _stream = _o->stream;
+  return tanagerseam::fleetwire::CreateFindStream(
+      _fbb,
+      _request,
+      _stream);
+}
+
+inline StreamFoundT *StreamFound::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamFoundT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamFound::UnPackTo(StreamFoundT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+}
+
+inline flatbuffers::Offset<StreamFound> StreamFound::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamFoundT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamFound(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamFound> CreateStreamFound(flatbuffers::FlatBufferBuilder &_fbb, const StreamFoundT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamFoundT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  return tanagerseam::fleetwire::CreateStreamFound(
+      _fbb,
+      _request,
+      _service,
+      _version);
+}
+
 inline DatagramT *Datagram::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<DatagramT>();
   UnPackTo(_o.get(), _resolver);
@@ -2108,6 +2552,18 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AcquireQuota *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::StreamBegan: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamBegan *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::FindStream: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::FindStream *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StreamFound: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamFound *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2151,6 +2607,18 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AcquireQuota *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::StreamBegan: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamBegan *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::FindStream: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::FindStream *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::StreamFound: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamFound *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2182,6 +2650,18 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AcquireQuotaT *>(value);
       return CreateAcquireQuota(_fbb, ptr, _rehasher).Union();
     }
+    case Body::StreamBegan: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamBeganT *>(value);
+      return CreateStreamBegan(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::FindStream: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::FindStreamT *>(value);
+      return CreateFindStream(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::StreamFound: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamFoundT *>(value);
+      return CreateStreamFound(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2212,6 +2692,18 @@
       value = new tanagerseam::fleetwire::AcquireQuotaT(*reinterpret_cast<tanagerseam::fleetwire::AcquireQuotaT *>(u.value));
       break;
     }
+    case Body::StreamBegan: {
+      value = new tanagerseam::fleetwire::StreamBeganT(*reinterpret_cast<tanagerseam::fleetwire::StreamBeganT *>(u.value));
+      break;
+    }
+    case Body::FindStream: {
+      value = new tanagerseam::fleetwire::FindStreamT(*reinterpret_cast<tanagerseam::fleetwire::FindStreamT *>(u.value));
+      break;
+    }
+    case Body::StreamFound: {
+      value = new tanagerseam::fleetwire::StreamFoundT(*reinterpret_cast<tanagerseam::fleetwire::StreamFoundT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2249,6 +2741,21 @@
       delete ptr;
       break;
     }
+    case Body::StreamBegan: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::StreamBeganT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::FindStream: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::FindStreamT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::StreamFound: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::StreamFoundT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -38,9 +38,29 @@
     handlers.onSettle = [this](const TokenRequest&, int64_t aUsed) {
       this->settledTokens.push_back(aUsed);
     };
+    handlers.onStreamBegan = [this](uint64_t aStream,
+                                    const StreamOrigin& aOrigin) {
+      this->streams.Put(aStream, aOrigin, BootNow());
+    };
+    handlers.onFindStream = [this](uint64_t aStream) {
+      return this->streams.Find(aStream, BootNow());
+    };
     this->one->SetHandlers(std::move(handlers));
   }
 
+  // What "one" answers about the stream.
+  StreamAnswer FindStreamAtOne(uint64_t aStream)
+  {
+    std::optional<StreamAnswer> answer;
+    this->two->FindStream(
+      "one", aStream, Millis(60), [&answer](const StreamAnswer& aAnswer) {
+        answer = aAnswer;
+      });
+    this->RunFor(Millis(100));
+    EXPECT_TRUE(answer);
+    return answer.value_or(StreamAnswer{});
+  }
+
   void RunFor(Millis aTime)
   {
     this->io.restart();
@@ -76,6 +96,7 @@
   std::unique_ptr<FleetLink> one = Open("one", 1, onePort);
   std::unique_ptr<FleetLink> two = Open("two", 1000, twoPort);
   std::vector<HostReport> reports;
+  StreamOrigins streams;
   std::vector<TokenRequest> requests;
   std::vector<int64_t> settledTokens;
   ReserveStatus status = ReserveStatus::kReserved;
@@ -157,6 +178,31 @@
   }
 }
 
+TEST_F(FleetLinkTest, TellsAndFindsWhereAStreamBegan)
+{
+  const uint64_t stream = StreamKey("club", "r-1");
+  {
+    SCOPED_TRACE("the host does not know it yet");
+    const StreamAnswer answer = this->FindStreamAtOne(stream);
+    EXPECT_TRUE(answer.answered);
+    EXPECT_FALSE(answer.origin);
+  }
+  this->two->TellStreamBegan("one", stream, { "engines", "v1.2" });
+  this->RunFor(Millis(20));
+  {
+    SCOPED_TRACE("it was told");
+    const StreamAnswer answer = this->FindStreamAtOne(stream);
+    ASSERT_TRUE(answer.origin);
+    EXPECT_EQ(answer.origin->service, "engines");
+    EXPECT_EQ(answer.origin->version, "v1.2");
+  }
+  {
+    SCOPED_TRACE("it is gone");
+    this->one.reset();
+    EXPECT_FALSE(this->FindStreamAtOne(stream).answered);
+  }
+}
+
 TEST_F(FleetLinkTest, ReportsNoAnswerFromUnresponsiveHost)
 {
   this->one.reset();
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -40,7 +40,7 @@
       self->OnDeadline();
     }
   });
-  this->LoadHistory();
+  this->FindStreamOrigin();
 }
 
 bool
@@ -73,14 +73,19 @@
     this->arrivedAt +
     std::min({ requestedTimeout, this->route->timeout, kMaxCallDuration });
   std::uniform_real_distribution<double> distribution(0, 1);
-  this->service = ChooseService(*this->route, distribution(shared.random));
-  const ServiceEntry* serviceEntry = this->catalog->FindService(this->service);
-  this->tokensPerEvent =
-    serviceEntry == nullptr ? 0 : serviceEntry->tokensPerEvent;
+  this->SetService(ChooseService(*this->route, distribution(shared.random)));
   this->priority = this->route->priority;
   return true;
 }
 
+void
+CallFlow::SetService(const std::string& aName)
+{
+  this->service = aName;
+  const ServiceEntry* entry = this->catalog->FindService(aName);
+  this->tokensPerEvent = entry == nullptr ? 0 : entry->tokensPerEvent;
+}
+
 bool
 CallFlow::CheckApiKey()
 {
@@ -132,6 +137,61 @@
   return false;
 }
 
+void
+CallFlow::FindStreamOrigin()
+{
+  if (!this->call.resumption || this->route->kind != CallKind::kStream) {
+    this->LoadHistory();
+    return;
+  }
+  const std::string& first = this->call.resumption->firstRequest;
+  if (first.empty()) {
+    this->Refuse(RefusalReason::kStreamUnknown,
+                 "the attempt that began the stream is not named");
+    return;
+  }
+  this->state.streamOrigins.Find(
+    StreamKey(this->OrganisationName(), first),
+    [self = this->shared_from_this()](const StreamLookup& aLookup) {
+      if (!self->ended) {
+        self->OnStreamOrigin(aLookup);
+      }
+    });
+}
+
+void
+CallFlow::OnStreamOrigin(const StreamLookup& aLookup)
+{
+  if (!aLookup.origin) {
+    // A host that did not answer may know the stream.
+    const bool mayFindLater = aLookup.result == StreamLookupResult::kNoAnswer;
+    this->RefuseWithRetryAfter(RefusalReason::kStreamUnknown,
+                               "origin " + std::string(NameOf(aLookup.result)),
+                               mayFindLater
+                                 ? std::optional<Millis>(this->DrawRetryAfter())
+                                 : std::nullopt);
+    return;
+  }
+  this->origin = aLookup.origin;
+  LogInfo("stream_resumed",
+          this->WithCallIds({ { "origin", std::string(NameOf(aLookup.result)) },
+                              { "service", this->origin->service },
+                              { "version", this->origin->version } }));
+  const auto& targets = this->route->targets;
+  const bool served =
+    std::any_of(targets.begin(), targets.end(), [this](const auto& aTarget) {
+      return aTarget.service == this->origin->service;
+    });
+  if (!served) {
+    this->Refuse(RefusalReason::kStreamVersionGone,
+                 "the route no longer leads to service " +
+                   this->origin->service);
+    return;
+  }
+  this->SetService(this->origin->service);
+  this->LoadHistory();
+}
+
 void
 CallFlow::RefuseOverQuota()
 {
@@ -309,6 +369,9 @@
   dispatchCall.excludedEndpoints = this->call.excludedEndpoints;
   dispatchCall.excludedEndpoints.insert(this->triedEndpoints.begin(),
                                         this->triedEndpoints.end());
+  if (this->origin) {
+    dispatchCall.version = this->origin->version;
+  }
   return dispatchCall;
 }
 
@@ -338,6 +401,11 @@
     return;
   }
   const bool noEndpoint = aRefused.reason == DispatchRefusal::kNoEndpoint;
+  if (noEndpoint && this->origin) {
+    this->Refuse(RefusalReason::kStreamVersionGone,
+                 "no endpoint of version " + this->origin->version);
+    return;
+  }
   this->RefuseWithRetryAfter(
     noEndpoint ? RefusalReason::kNoEndpoint : RefusalReason::kOverloaded,
     "service utilisation " + std::to_string(aRefused.utilisation),
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -83,6 +83,13 @@
     this->OnNotExecuted("endpoint_gone");
     return;
   }
+  if (this->origin && this->origin->version != endpoint->version) {
+    // It has started again since it was chosen.
+    this->EndAttempt(AttemptResult::kRejected);
+    this->Place();
+    return;
+  }
+  this->endpointVersion = endpoint->version;
   const std::string body = this->priorTranscript
                              ? *this->priorTranscript + this->call.body
                              : this->call.body;
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -42,10 +42,14 @@
   // ---- admission; each step refuses the call if it fails
   // Sets the route, the deadline and the service. False: refused.
   bool FindRoute();
+  void SetService(const std::string& aName);
   // Sets the organisation from the API key, if one is needed. False: refused.
   bool CheckApiKey();
   // False: refused, since the call crashed the endpoints that ran it.
   bool CheckQuarantine();
+  // Finds out where the stream began that the call resumes, if it does.
+  void FindStreamOrigin();
+  void OnStreamOrigin(const StreamLookup& aLookup);
   // Takes one call out of the organisation's rate quota, then places the call.
   void AcquireQuota();
   void OnQuotaDecision(bool aAdmitted);
@@ -89,6 +93,8 @@
   void Retry();
 
   // ---- event streams
+  // Tells other hosts where the stream began.
+  void AnnounceStream();
   // Counts an event, and keeps its data for the history. False if there is no
   // room for it.
   bool RecordEvent(std::string_view aData);
@@ -157,6 +163,8 @@
   // Budget tokens reserved for this turn; reset once settled.
   std::optional<TurnReservation> reservation;
   int64_t usedTokens = 0;
+  // Where the stream began that the call resumes; unset for a new stream.
+  std::optional<StreamOrigin> origin;
   // Transcript up to the previous turn; null if there is none.
   Transcript priorTranscript;
 
@@ -167,6 +175,8 @@
   // A failed attempt may have executed the call.
   bool mayHaveExecuted = false;
   std::string endpointId;
+  // Of that endpoint's software, when the call was sent.
+  std::string endpointVersion;
   // The last attempt; null before the first.
   std::shared_ptr<ResponseRelay> relay;
   bool exchangeActive = false;
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -14,12 +14,26 @@
       "tanagerseam_first_event_seconds",
       {},
       std::chrono::duration<double>(firstEventLatency).count());
+    this->AnnounceStream();
   }
   this->usedTokens += this->tokensPerEvent;
   return !this->route->retainsHistory ||
          (this->turnOutput.Append(aData) && this->turnOutput.Append("\n"));
 }
 
+// Called before the client gets the first event: it may come back at any moment
+// after that. A resumed stream may be named by this attempt, too.
+void
+CallFlow::AnnounceStream()
+{
+  if (!this->route->resumable) {
+    return;
+  }
+  this->state.streamOrigins.Announce(
+    StreamKey(this->OrganisationName(), this->call.requestId),
+    { this->service, this->endpointVersion });
+}
+
 void
 CallFlow::PersistTurn()
 {
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -178,6 +178,13 @@
                              int64_t aUsedTokens) {
     self->state.turnBudgets.SettleForPeer(aRequest, aUsedTokens);
   };
+  handlers.onStreamBegan = [self](uint64_t aStream,
+                                  const StreamOrigin& aOrigin) {
+    self->state.streamOrigins.OnAnnounced(aStream, aOrigin);
+  };
+  handlers.onFindStream = [self](uint64_t aStream) {
+    return self->state.streamOrigins.FindForPeer(aStream);
+  };
   this->impl->state.dependencies.link.SetHandlers(std::move(handlers));
   this->impl->Tick();
   this->impl->PublishReport();
@@ -231,6 +238,7 @@
   const EndpointEntry* previous = state.endpoints.Find(id);
   const bool changed = previous == nullptr ||
                        previous->address != aEndpoint.address ||
+                       previous->version != aEndpoint.version ||
                        previous->service != aEndpoint.service;
   const bool wasUsable = state.endpoints.IsUsable(id);
   if (state.rateLimits.OnEntry(aEndpoint)) {
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -58,6 +58,9 @@
   , endpointQuotaClient(this->endpointQuota,
                         aDependencies.link,
                         aDependencies.metrics)
+  , streamOrigins(this->settings.host,
+                  aDependencies.link,
+                  aDependencies.metrics)
   , persistentLog(aDependencies.io, aDependencies.log)
   , budgets(this->persistentLog, MakeProgramSettings(this->settings))
   , turnBudgets(this->settings.host,
@@ -115,7 +118,8 @@
       entry.second.push_back({ endpoint->id,
                                endpoint->zone,
                                endpoint->slots,
-                               this->rateLimits.Find(endpoint->id) });
+                               this->rateLimits.Find(endpoint->id),
+                               endpoint->version });
     }
     this->dispatcher.SetEndpoints(entry.first, entry.second);
   }
@@ -215,6 +219,7 @@
   this->quota.SetMembers(hosts, reportPeriod);
   this->endpointQuota.SetMembers(hosts, reportPeriod);
   this->turnBudgets.SetMembers(hosts);
+  this->streamOrigins.SetMembers(hosts);
   this->dispatcher.SetFleetSize(std::max<size_t>(1, hosts.size()));
   this->dependencies.link.SetPeers(std::move(others));
 }
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "gateway/peer_table.h"
 #include "gateway/quota_client.h"
 #include "gateway/response_relay.h"
+#include "gateway/stream_origin_client.h"
 #include "gateway/turn_budgets.h"
 #include "quarantine/quarantine.h"
 
@@ -86,6 +87,7 @@
   // Limits the calls to endpoints that name a rate; see RateQuotaName.
   FleetQuota endpointQuota;
   QuotaClient endpointQuotaClient;
+  StreamOriginClient streamOrigins;
   RetryingLog persistentLog;
   BudgetService budgets;
   TurnBudgets turnBudgets;
--- a/kernel/result.h
+++ b/kernel/result.h
@@ -49,6 +49,8 @@
   kNotReady,
   kOverloaded,
   kCallQuarantined,
+  kStreamUnknown,
+  kStreamVersionGone,
   kVersionConflict,
   kInternalError,
 };
--- /dev/null
+++ b/resumption/resumption.h
@@ -0,0 +1,88 @@
+// Remembers at which software version of a service each event stream began, so
+// that a stream that broke off goes on at that version only.
+//
+//   StreamOrigins origins;
+//   const uint64_t stream = StreamKey("ski-club", "r-17");
+//   origins.Put(stream, { "engines", "v1.2" }, now);
+//   if (const StreamOrigin* origin = origins.Find(stream, now)) { ... }
+//
+//   // Hosts that are told, and hosts that are asked:
+//   StreamKeepers(stream, otherHosts, kToldKeepers);
+//   StreamKeepers(stream, otherHosts, kAskedKeepers);
+//
+// What two versions generate does not fit together, and endpoints don't check
+// it. A client resumes its stream through any host, so the host that passes on
+// the first event tells others: the hosts with the highest rendezvous hash of
+// stream and host. Any host that looks for the stream ranks them the same way,
+// as far as it knows the same members; it asks more hosts than were told, since
+// their lists of members may differ. Each host may itself be among those that
+// rank highest, so it leaves itself out.
+//
+// Bounds: kMaxStreams origins for kStreamMemory each; the oldest is forgotten
+// first. Deterministic: the time is an argument.
+#ifndef TANAGERSEAM_RESUMPTION_RESUMPTION_H_
+#define TANAGERSEAM_RESUMPTION_RESUMPTION_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "kernel/kernel.h"
+
+namespace tanagerseam {
+
+// Where a stream began.
+struct StreamOrigin
+{
+  std::string service;
+  // Of the endpoint's software.
+  std::string version;
+};
+
+// Hosts that are told of a stream that begins.
+inline constexpr size_t kToldKeepers = 2;
+// Hosts that are asked where a stream began.
+inline constexpr size_t kAskedKeepers = 4;
+
+// Identifies the stream that an organisation's attempt began.
+uint64_t
+StreamKey(const std::string& aOrganisation, const std::string& aRequestId);
+
+// The aCount hosts of aHosts that rank highest for the stream, best first.
+std::vector<std::string>
+StreamKeepers(uint64_t aStream,
+              const std::vector<std::string>& aHosts,
+              size_t aCount);
+
+class StreamOrigins
+{
+public:
+  // The longest time for which a client may come back.
+  static constexpr Millis kStreamMemory{ 600000 };
+  static constexpr size_t kMaxStreams = 16384;
+
+  // A known stream keeps its origin.
+  void Put(uint64_t aStream, StreamOrigin aOrigin, TimePoint aNow);
+  // Null if the stream is not known.
+  const StreamOrigin* Find(uint64_t aStream, TimePoint aNow);
+  size_t Size() const { return this->origins.size(); }
+
+private:
+  struct Arrival
+  {
+    TimePoint at{};
+    uint64_t stream = 0;
+  };
+
+  void Forget(TimePoint aNow);
+
+  std::unordered_map<uint64_t, StreamOrigin> origins;
+  // Oldest first.
+  std::deque<Arrival> arrivals;
+};
+
+} // namespace tanagerseam
+
+#endif // TANAGERSEAM_RESUMPTION_RESUMPTION_H_
--- /dev/null
+++ b/resumption/testing/resumption_test.cc
@@ -0,0 +1,146 @@
+// Which hosts know at which version a stream began, while hosts come and go.
+#include "resumption/resumption.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+namespace tanagerseam {
+namespace {
+
+std::vector<std::string>
+Hosts(size_t aCount)
+{
+  std::vector<std::string> hosts;
+  for (size_t i = 0; i < aCount; ++i) {
+    hosts.push_back("host-" + std::to_string(i));
+  }
+  return hosts;
+}
+
+std::vector<std::string>
+Without(std::vector<std::string> aHosts, const std::string& aHost)
+{
+  aHosts.erase(std::remove(aHosts.begin(), aHosts.end(), aHost), aHosts.end());
+  return aHosts;
+}
+
+const StreamOrigin kOrigin{ "engines", "v1" };
+
+TEST(StreamOriginsTest, RemembersEachStreamForABoundedTime)
+{
+  StreamOrigins origins;
+  const TimePoint start = BootNow();
+  const uint64_t stream = StreamKey("club", "r-1");
+  origins.Put(stream, kOrigin, start);
+  {
+    SCOPED_TRACE("only the organisation that began it finds it");
+    EXPECT_EQ(origins.Find(stream, start)->version, "v1");
+    EXPECT_EQ(origins.Find(StreamKey("other", "r-1"), start), nullptr);
+  }
+  {
+    SCOPED_TRACE("it keeps its version");
+    origins.Put(stream, { "engines", "v2" }, start);
+    EXPECT_EQ(origins.Find(stream, start)->version, "v1");
+  }
+  {
+    SCOPED_TRACE("it is there as long as a client may come back");
+    EXPECT_NE(origins.Find(stream, start + StreamOrigins::kStreamMemory),
+              nullptr);
+    EXPECT_EQ(
+      origins.Find(stream, start + StreamOrigins::kStreamMemory + Millis(1)),
+      nullptr);
+    EXPECT_EQ(origins.Size(), 0u);
+  }
+}
+
+TEST(StreamOriginsTest, ForgetsTheOldestWhenThereAreTooMany)
+{
+  StreamOrigins origins;
+  const TimePoint start = BootNow();
+  for (size_t i = 0; i <= StreamOrigins::kMaxStreams; ++i) {
+    origins.Put(i, kOrigin, start + Millis(static_cast<int64_t>(i)));
+  }
+  const TimePoint end =
+    start + Millis(static_cast<int64_t>(StreamOrigins::kMaxStreams));
+  EXPECT_EQ(origins.Size(), StreamOrigins::kMaxStreams);
+  EXPECT_EQ(origins.Find(0, end), nullptr);
+  EXPECT_NE(origins.Find(1, end), nullptr);
+}
+
+// Pattern: many streams break off because their hosts die, and are taken up at
+// the hosts that are left.
+class StreamKeepersTest : public ::testing::TestWithParam<size_t>
+{
+protected:
+  // Share of the streams whose origin the hosts that are left find, after
+  // aLost of aHosts are lost. aNewcomers have joined that only askers know.
+  double FoundShare(size_t aLost, size_t aNewcomers = 0)
+  {
+    const auto hosts = Hosts(GetParam());
+    auto known = Hosts(GetParam() + aNewcomers);
+    std::mt19937 random(1);
+    std::vector<std::string> shuffled = hosts;
+    std::shuffle(shuffled.begin(), shuffled.end(), random);
+    const std::set<std::string> lost(
+      shuffled.begin(), shuffled.begin() + static_cast<ptrdiff_t>(aLost));
+    constexpr int kStreams = 2000;
+    int found = 0;
+    for (uint64_t stream = 0; stream < kStreams; ++stream) {
+      const std::string& teller = hosts[random() % hosts.size()];
+      const std::string& asker =
+        shuffled[aLost + random() % (hosts.size() - aLost)];
+      const auto told =
+        StreamKeepers(stream, Without(hosts, teller), kToldKeepers);
+      std::set<std::string> knowing(told.begin(), told.end());
+      knowing.insert(teller);
+      auto asked = StreamKeepers(stream, Without(known, asker), kAskedKeepers);
+      asked.push_back(asker);
+      found += std::any_of(asked.begin(), asked.end(), [&](const auto& aHost) {
+        return lost.count(aHost) == 0 && knowing.count(aHost) > 0;
+      });
+    }
+    return static_cast<double>(found) / kStreams;
+  }
+};
+
+TEST_P(StreamKeepersTest, AnyHostFindsAStreamOfAnyOther)
+{
+  EXPECT_EQ(this->FoundShare(0), 1);
+}
+
+TEST_P(StreamKeepersTest, MostStreamsAreFoundAfterSixtyOfAHundredHostsAreLost)
+{
+  EXPECT_GE(this->FoundShare(GetParam() * 6 / 10), 0.5);
+}
+
+TEST_P(StreamKeepersTest, HostsThatHaveJustJoinedHideFewStreams)
+{
+  EXPECT_GE(this->FoundShare(0, GetParam() / 2), 0.95);
+}
+
+TEST_P(StreamKeepersTest, HostsShareTheStreamsEvenly)
+{
+  const auto hosts = Hosts(GetParam());
+  std::map<std::string, int> count;
+  const int streams = static_cast<int>(100 * GetParam());
+  for (int stream = 0; stream < streams; ++stream) {
+    for (const auto& host :
+         StreamKeepers(static_cast<uint64_t>(stream), hosts, kToldKeepers)) {
+      ++count[host];
+    }
+  }
+  for (const auto& entry : count) {
+    EXPECT_LT(entry.second, 2 * 200) << entry.first;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         StreamKeepersTest,
+                         ::testing::Values(10, 79, 295));
+
+} // namespace
+} // namespace tanagerseam
