A stream that is not named goes on where one version only has served

Cause: unknown was taken for unanswerable. A host that has watched the registry since before the stream can have begun (two timeouts of its route), and has read it within 2.5 s, knows whether one version alone served since.

Change: VersionHistory, without network; used where the client names no attempt and where nobody knows the one that it names. A host that has just started, or whose store is away, still refuses.

--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -286,6 +286,8 @@
   std::vector<std::string> PurgeRemoved(TimePoint aNow);
   // The endpoints of a service that accept new calls.
   std::vector<const EndpointEntry*> Usable(const std::string& aService) const;
+  // Also those that are not usable; see Find.
+  std::vector<const EndpointEntry*> All(const std::string& aService) const;
   // Also finds entries that are not usable: draining and leaving ones, and
   // removed ones until they are purged.
   const EndpointEntry* Find(const std::string& aId) const;
--- a/catalog/endpoint_table.cc
+++ b/catalog/endpoint_table.cc
@@ -171,6 +171,18 @@
   return usable;
 }
 
+std::vector<const EndpointEntry*>
+EndpointTable::All(const std::string& aService) const
+{
+  std::vector<const EndpointEntry*> all;
+  for (const auto& entry : this->entries) {
+    if (entry.second.endpoint.service == aService) {
+      all.push_back(&entry.second.endpoint);
+    }
+  }
+  return all;
+}
+
 const EndpointEntry*
 EndpointTable::Find(const std::string& aId) const
 {
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -14,6 +14,9 @@
 constexpr Millis kRetryAfterAtShutdown(50);
 // Limit on waiting for the record log before a call is placed.
 constexpr Millis kMaxLogWait(600);
+// Attempts of a client at one stream, each as long as the route's timeout,
+// after which it begins anew.
+constexpr int64_t kAttemptsOfAStream = 2;
 
 } // namespace
 
@@ -146,8 +149,7 @@
   }
   const std::string& first = this->call.resumption->firstRequest;
   if (first.empty()) {
-    this->Refuse(RefusalReason::kStreamUnknown,
-                 "the attempt that began the stream is not named");
+    this->OnStreamOrigin({ StreamLookupResult::kUnnamed, std::nullopt });
     return;
   }
   this->state.streamOrigins.Find(
@@ -159,10 +161,28 @@
     });
 }
 
+void
+CallFlow::InferStreamOrigin()
+{
+  if (this->route->targets.size() > 1) {
+    return;
+  }
+  const TimePoint earliestBegin =
+    BootNow() - kAttemptsOfAStream * this->route->timeout;
+  if (const auto version =
+        this->state.SoleVersion(this->service, earliestBegin)) {
+    this->origin = StreamOrigin{ this->service, *version };
+  }
+}
+
 void
 CallFlow::OnStreamOrigin(const StreamLookup& aLookup)
 {
-  if (!aLookup.origin) {
+  this->origin = aLookup.origin;
+  if (!this->origin) {
+    this->InferStreamOrigin();
+  }
+  if (!this->origin) {
     // A host that did not answer may know the stream.
     const bool mayFindLater = aLookup.result == StreamLookupResult::kNoAnswer;
     this->RefuseWithRetryAfter(RefusalReason::kStreamUnknown,
@@ -172,7 +192,6 @@
                                  : std::nullopt);
     return;
   }
-  this->origin = aLookup.origin;
   LogInfo("stream_resumed",
           this->WithCallIds({ { "origin", std::string(NameOf(aLookup.result)) },
                               { "service", this->origin->service },
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -50,6 +50,9 @@
   // Finds out where the stream began that the call resumes, if it does.
   void FindStreamOrigin();
   void OnStreamOrigin(const StreamLookup& aLookup);
+  // No host knows the stream: sets its origin if only one version can have
+  // begun it.
+  void InferStreamOrigin();
   // Takes one call out of the organisation's rate quota, then places the call.
   void AcquireQuota();
   void OnQuotaDecision(bool aAdmitted);
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -244,6 +244,10 @@
   if (state.rateLimits.OnEntry(aEndpoint)) {
     state.OnRateLimitChanged(id, "new_incarnation");
   }
+  if (previous != nullptr) {
+    state.versions.See(previous->service, previous->version, BootNow());
+  }
+  state.versions.See(aEndpoint.service, aEndpoint.version, BootNow());
   state.endpoints.Put(std::move(aEndpoint), BootNow());
   if (!changed && wasUsable == state.endpoints.IsUsable(id)) {
     return;
@@ -262,9 +266,11 @@
 Gateway::RemoveEndpoint(const std::string& aId)
 {
   GatewayState& state = this->impl->state;
-  if (state.endpoints.Find(aId) == nullptr) {
+  const EndpointEntry* endpoint = state.endpoints.Find(aId);
+  if (endpoint == nullptr) {
     return;
   }
+  state.versions.See(endpoint->service, endpoint->version, BootNow());
   state.endpoints.Remove(aId, BootNow());
   if (state.endpoints.Find(aId) == nullptr) {
     state.ForgetRateLimit(aId);
@@ -289,12 +295,14 @@
 Gateway::MarkEndpointsUnavailable()
 {
   this->impl->state.endpoints.OnRegistryLost();
+  this->impl->state.versions.MarkUnavailable();
 }
 
 void
 Gateway::ConfirmEndpoints()
 {
   this->impl->state.endpoints.OnRegistryRecovered(BootNow());
+  this->impl->state.versions.Confirm(BootNow());
   this->impl->state.endpointsConfirmed = true;
 }
 
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -204,6 +204,16 @@
     aEndpoint, BootNow() + Millis(static_cast<int64_t>(holdMillis)));
 }
 
+std::optional<std::string>
+GatewayState::SoleVersion(const std::string& aService, TimePoint aSince)
+{
+  const TimePoint now = BootNow();
+  for (const EndpointEntry* endpoint : this->endpoints.All(aService)) {
+    this->versions.See(aService, endpoint->version, now);
+  }
+  return this->versions.SoleVersion(aService, aSince, now);
+}
+
 void
 GatewayState::UpdateMembers()
 {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -55,6 +55,9 @@
   bool StoreUnavailable(TimePoint aNow) const;
   // True if this host can admit and serve calls and is not draining.
   bool Ready(TimePoint aNow) const;
+  // The only version of the service since aSince, if that is certain.
+  std::optional<std::string> SoleVersion(const std::string& aService,
+                                         TimePoint aSince);
   // Passes the current members to the quota, the budgets and the fleet link.
   void UpdateMembers();
   std::shared_ptr<ResponseRelay> MakeRelay(
@@ -88,6 +91,7 @@
   FleetQuota endpointQuota;
   QuotaClient endpointQuotaClient;
   StreamOriginClient streamOrigins;
+  VersionHistory versions;
   RetryingLog persistentLog;
   BudgetService budgets;
   TurnBudgets turnBudgets;
--- a/gateway/stream_origin_client.cc
+++ b/gateway/stream_origin_client.cc
@@ -16,6 +16,7 @@
   { StreamLookupResult::kOwn, "own" },
   { StreamLookupResult::kPeer, "peer" },
   { StreamLookupResult::kUnknown, "unknown" },
+  { StreamLookupResult::kUnnamed, "unnamed" },
   { StreamLookupResult::kNoAnswer, "no_answer" },
 };
 
--- a/gateway/stream_origin_client.h
+++ b/gateway/stream_origin_client.h
@@ -26,6 +26,8 @@
   kPeer,
   // All hosts that were asked answered, and none knew it.
   kUnknown,
+  // The client does not name the attempt that began the stream.
+  kUnnamed,
   // None knew it, and some did not answer in time.
   kNoAnswer,
 };
--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -18,6 +18,17 @@
 // their lists of members may differ. Each host may itself be among those that
 // rank highest, so it leaves itself out.
 //
+// Where nobody knows the stream, or the client does not name it, it may go on
+// if its service had one version only since before it can have begun:
+//
+//   VersionHistory versions;
+//   versions.See("engines", "v1.2", now);     // also when it leaves
+//   versions.Confirm(now);                    // the registry was read
+//   versions.SoleVersion("engines", now - longestStream, now);
+//
+// A host can't say so before it has read the registry for that long, nor if it
+// has not read it lately.
+//
 // Bounds: kMaxStreams origins for kStreamMemory each; the oldest is forgotten
 // first. Deterministic: the time is an argument.
 #ifndef TANAGERSEAM_RESUMPTION_RESUMPTION_H_
@@ -25,6 +36,8 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -83,6 +96,34 @@
   std::deque<Arrival> arrivals;
 };
 
+class VersionHistory
+{
+public:
+  // The registry must have been read this recently.
+  static constexpr Millis kMaxConfirmationAge{ 2500 };
+
+  // An endpoint of the service has this version, or had it until now.
+  void See(const std::string& aService,
+           const std::string& aVersion,
+           TimePoint aNow);
+  // The registry has been read, and See called for all its entries.
+  void Confirm(TimePoint aNow);
+  // The registry could not be read.
+  void MarkUnavailable() { this->confirmedAt = TimePoint{}; }
+  // The only version that an endpoint of the service has had since aSince;
+  // unset if there were several, none, or if this host can't be certain.
+  std::optional<std::string> SoleVersion(const std::string& aService,
+                                         TimePoint aSince,
+                                         TimePoint aNow) const;
+
+private:
+  // When each version was last seen, by service.
+  std::map<std::string, std::map<std::string, TimePoint>> lastSeen;
+  // First and last time at which the registry was read.
+  TimePoint watchedSince{};
+  TimePoint confirmedAt{};
+};
+
 } // namespace tanagerseam
 
 #endif // TANAGERSEAM_RESUMPTION_RESUMPTION_H_
--- a/resumption/testing/resumption_test.cc
+++ b/resumption/testing/resumption_test.cc
@@ -71,6 +71,44 @@
   EXPECT_NE(origins.Find(1, end), nullptr);
 }
 
+TEST(VersionHistoryTest, SaysWhichVersionServedAloneSinceAStreamCanHaveBegun)
+{
+  const Millis longest(8000);
+  const TimePoint start = BootNow();
+  const auto at = [start](int64_t aMillis) { return start + Millis(aMillis); };
+  VersionHistory versions;
+  versions.See("engines", "v1", at(0));
+  versions.Confirm(at(0));
+  {
+    SCOPED_TRACE(
+      "a host that has just started does not know what served before");
+    EXPECT_FALSE(versions.SoleVersion("engines", at(10) - longest, at(10)));
+  }
+  const auto soleAt = [&](int64_t aMillis) {
+    versions.Confirm(at(aMillis));
+    return versions.SoleVersion("engines", at(aMillis) - longest, at(aMillis))
+      .value_or("");
+  };
+  versions.See("engines", "v1", at(9000));
+  EXPECT_EQ(soleAt(9000), "v1");
+  EXPECT_FALSE(versions.SoleVersion("tools", at(1000), at(9000)));
+  {
+    SCOPED_TRACE("a second version, until all its streams are over");
+    versions.See("engines", "v2", at(10000));
+    versions.See("engines", "v1", at(12000));
+    EXPECT_EQ(soleAt(12000), "");
+    versions.See("engines", "v1", at(18100));
+    EXPECT_EQ(soleAt(18100), "v1");
+  }
+  {
+    SCOPED_TRACE("the registry can't be read");
+    EXPECT_FALSE(versions.SoleVersion("engines", at(13000), at(21000)));
+    versions.Confirm(at(21000));
+    versions.MarkUnavailable();
+    EXPECT_FALSE(versions.SoleVersion("engines", at(13000), at(21000)));
+  }
+}
+
 // Pattern: many streams break off because their hosts die, and are taken up at
 // the hosts that are left.
 class StreamKeepersTest : public ::testing::TestWithParam<size_t>
--- a/tests/integration/gateway_stream_version_test.cc
+++ b/tests/integration/gateway_stream_version_test.cc
@@ -13,6 +13,8 @@
 constexpr size_t kHosts = 3;
 constexpr int kEnginesOfEachVersion = 3;
 constexpr int kStreams = 40;
+// As ConfigurationJson says.
+constexpr Millis kRouteTimeout(2000);
 // The engine breaks off after this event, and after any later one on request.
 constexpr int kLastEventBeforeBreak = 2;
 constexpr int kLastEvent = 4;
@@ -203,6 +205,37 @@
   }
 }
 
+TEST_F(GatewayStreamVersions, GoOnWithoutANameWhereOnlyOneVersionServed)
+{
+  for (const auto& engine : this->engines) {
+    if (engine.first.find("v1.1") != std::string::npos) {
+      this->RegisterEngine(engine.first, "draining");
+      this->store.PutKeyed("keyed.servers", engine.first, "");
+    }
+  }
+  const std::string headers = "Last-Event-Id: 2\r\n";
+  const auto followUnnamed = [this, &headers] {
+    return this->Follow(1, this->NextRequestId(), headers);
+  };
+  {
+    SCOPED_TRACE("a stream of the other version may still come back");
+    this->RunFor(Millis(1500));
+    EXPECT_EQ(followUnnamed().status, 503);
+  }
+  {
+    SCOPED_TRACE("it can't any more");
+    this->RunFor(2 * kRouteTimeout + Millis(500));
+    this->ExpectContinuedAt(followUnnamed(), "v1");
+  }
+  {
+    SCOPED_TRACE("a host that has just started does not know");
+    this->hosts[1]->process->Kill();
+    this->hosts[1]->Start();
+    ASSERT_TRUE(this->Until([this] { return this->Ready(1); }));
+    EXPECT_EQ(followUnnamed().status, 503);
+  }
+}
+
 TEST_F(GatewayStreamVersions, AreRefusedAtOnceIfTheyCannotGoOn)
 {
   std::string version;
@@ -214,6 +247,11 @@
     EXPECT_EQ(unknown.status, 503);
     EXPECT_LT(BootNow() - startedAt, Millis(500));
   }
+  {
+    SCOPED_TRACE("it is not named, and two versions serve");
+    const std::string headers = "Last-Event-Id: 2\r\n";
+    EXPECT_EQ(this->Follow(1, this->NextRequestId(), headers).status, 503);
+  }
   {
     SCOPED_TRACE("no endpoint of its version is left");
     for (const auto& engine : this->engines) {
