A host that has lost its links to a service serves through peers that have them

Cause: a host judged endpoints by the registry and its own failures, and never asked whether the failures were its own: five connections of 300 ms for each call, then a refusal, though peers served from the same endpoints. It forwarded only without an entry in the registry. Class: a local failure is taken for one of the other side.

Ruled out: peers that count as not ready (nothing was forwarded), overload of the others (1 refusal for want of room in 9 s).

Calls to a lost service go to a peer that has not lost it, before anything is reserved for them; so does a call that could connect to none of two endpoints. Both have run nowhere, so this holds for every kind of call. Where no peer reaches the service, all is as before.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -71,6 +71,8 @@
   // At most kMaxReportedRateLimits are sent, the newest ones.
   std::vector<EndpointRateLimit> rateLimits;
   QuarantineReport quarantine;
+  // Services of which the host reaches no endpoint.
+  std::vector<std::string> lostServices;
 };
 
 // Asks for a reservation of tokens for one turn of a program.
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -904,6 +904,7 @@
   std::vector<std::unique_ptr<tanagerseam::fleetwire::BrokenCallT>> broken_calls{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::ClearedCallT>> cleared_calls{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::DownEndpointT>> down_endpoints{};
+  std::vector<std::string> lost_services{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -925,7 +926,8 @@
     VT_RATE_LIMITS = 18,
     VT_BROKEN_CALLS = 20,
     VT_CLEARED_CALLS = 22,
-    VT_DOWN_ENDPOINTS = 24
+    VT_DOWN_ENDPOINTS = 24,
+    VT_LOST_SERVICES = 26
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -960,6 +962,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *down_endpoints() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *>(VT_DOWN_ENDPOINTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lost_services() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LOST_SERVICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -986,6 +991,9 @@
            VerifyOffset(verifier, VT_DOWN_ENDPOINTS) &&
            verifier.VerifyVector(down_endpoints()) &&
            verifier.VerifyVectorOfTables(down_endpoints()) &&
+           VerifyOffset(verifier, VT_LOST_SERVICES) &&
+           verifier.VerifyVector(lost_services()) &&
+           verifier.VerifyVectorOfStrings(lost_services()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1030,6 +1038,9 @@
   void add_down_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>> down_endpoints) {
     fbb_.AddOffset(LoadReport::VT_DOWN_ENDPOINTS, down_endpoints);
   }
+  void add_lost_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost_services) {
+    fbb_.AddOffset(LoadReport::VT_LOST_SERVICES, lost_services);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1053,9 +1064,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>>> rate_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>>> broken_calls = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>>> cleared_calls = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>> down_endpoints = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>> down_endpoints = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost_services = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
+  builder_.add_lost_services(lost_services);
   builder_.add_down_endpoints(down_endpoints);
   builder_.add_cleared_calls(cleared_calls);
   builder_.add_broken_calls(broken_calls);
@@ -1086,7 +1099,8 @@
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::RateLimit>> *rate_limits = nullptr,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>> *broken_calls = nullptr,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> *cleared_calls = nullptr,
-    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *down_endpoints = nullptr) {
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *down_endpoints = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lost_services = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::EndpointCalls>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::OrganisationUse>(*organisations) : 0;
   auto call_address__ = call_address ? _fbb.CreateString(call_address) : 0;
@@ -1095,6 +1109,7 @@
   auto broken_calls__ = broken_calls ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>>(*broken_calls) : 0;
   auto cleared_calls__ = cleared_calls ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>>(*cleared_calls) : 0;
   auto down_endpoints__ = down_endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>(*down_endpoints) : 0;
+  auto lost_services__ = lost_services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lost_services) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       sequence,
@@ -1107,7 +1122,8 @@
       rate_limits__,
       broken_calls__,
       cleared_calls__,
-      down_endpoints__);
+      down_endpoints__,
+      lost_services__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2148,7 +2164,8 @@
         organisations(o.organisations),
         store_lost(o.store_lost),
         ready(o.ready),
-        call_address(o.call_address) {
+        call_address(o.call_address),
+        lost_services(o.lost_services) {
   leaving.reserve(o.leaving.size());
   for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new tanagerseam::fleetwire::LeavingEndpointT(*leaving_) : nullptr); }
   rate_limits.reserve(o.rate_limits.size());
@@ -2173,6 +2190,7 @@
   std::swap(broken_calls, o.broken_calls);
   std::swap(cleared_calls, o.cleared_calls);
   std::swap(down_endpoints, o.down_endpoints);
+  std::swap(lost_services, o.lost_services);
   return *this;
 }
 
@@ -2196,6 +2214,7 @@
   { auto _e = broken_calls(); if (_e) { _o->broken_calls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->broken_calls[_i] = std::unique_ptr<tanagerseam::fleetwire::BrokenCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = cleared_calls(); if (_e) { _o->cleared_calls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cleared_calls[_i] = std::unique_ptr<tanagerseam::fleetwire::ClearedCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = down_endpoints(); if (_e) { _o->down_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->down_endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::DownEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = lost_services(); if (_e) { _o->lost_services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lost_services[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2217,6 +2236,7 @@
   auto _broken_calls = _o->broken_calls.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>> (_o->broken_calls.size(), [](size_t i, _VectorArgs *__va) { return CreateBrokenCall(*__va->__fbb, __va->__o->broken_calls[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _cleared_calls = _o->cleared_calls.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> (_o->cleared_calls.size(), [](size_t i, _VectorArgs *__va) { return CreateClearedCall(*__va->__fbb, __va->__o->cleared_calls[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _down_endpoints = _o->down_endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> (_o->down_endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateDownEndpoint(*__va->__fbb, __va->__o->down_endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _lost_services = _o->lost_services.size() ? _fbb.CreateVectorOfStrings(_o->lost_services) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       _sequence,
@@ -2229,7 +2249,8 @@
       _rate_limits,
       _broken_calls,
       _cleared_calls,
-      _down_endpoints);
+      _down_endpoints,
+      _lost_services);
 }
 
 inline ReserveTokensT *ReserveTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/fleet/report_wire.cc
+++ b/fleet/report_wire.cc
@@ -75,6 +75,7 @@
   table.store_lost = aReport.storeUnavailable;
   table.ready = aReport.ready;
   table.call_address = aReport.callAddress;
+  table.lost_services = aReport.lostServices;
   for (const auto& entry : aReport.endpointLoads) {
     table.endpoints.emplace_back(entry.first,
                                  static_cast<uint16_t>(entry.second));
@@ -128,6 +129,7 @@
   report.storeUnavailable = table.store_lost;
   report.ready = table.ready;
   report.callAddress = table.call_address;
+  report.lostServices = table.lost_services;
   for (const auto& entry : table.leaving) {
     report.leavingEndpoints.push_back(
       { entry->id, entry->started, entry->announced });
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -86,6 +86,7 @@
     };
     report.quarantine.cleared = { { "4567", 1700000050000 } };
     report.quarantine.down = { { "e-6@1700000000000", 1700000050200 } };
+    report.lostServices = { "engines" };
     aLink.SendReport(report);
     this->RunFor(Millis(20));
   }
@@ -138,6 +139,8 @@
   ASSERT_EQ(quarantine.down.size(), 1u);
   EXPECT_EQ(quarantine.down[0].endpoint, "e-6@1700000000000");
   EXPECT_EQ(quarantine.down[0].seenAtMillis, 1700000050200);
+  EXPECT_EQ(this->reports[0].lostServices,
+            std::vector<std::string>{ "engines" });
 }
 
 TEST_F(FleetLinkTest, AcceptsRestartWithEarlierClockAfterSilence)
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -43,6 +43,11 @@
       self->OnDeadline();
     }
   });
+  this->isTrial = this->state.reach.IsLost(this->service) &&
+                  this->state.reach.TakeTrial(this->service, BootNow());
+  if (!this->isTrial && this->ForwardIfCutOff()) {
+    return;
+  }
   this->FindStreamOrigin();
 }
 
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -100,8 +100,9 @@
     this->call, *endpoint, this->OrganisationName(), body, endpointTimeout);
   out.timeout = remaining + Millis(50);
   out.connectTimeout = std::min(remaining, Millis(300));
-  out.ownConnection = this->state.connections.NeedsOwnConnection(
-    this->route->kind, this->service, BootNow());
+  out.ownConnection =
+    this->isTrial || this->state.connections.NeedsOwnConnection(
+                       this->route->kind, this->service, BootNow());
   this->triedEndpoints.insert(this->endpointId);
   ++this->attempts;
   this->sentAt = BootNow();
@@ -176,6 +177,10 @@
   this->state.dependencies.metrics.Count("tanagerseam_attempts_total",
                                          { { "result", result } });
   this->RecordForQuarantine(aOutcome);
+  if (this->ResponseStatus() != 0 &&
+      aOutcome.connectionUse.earlierRequests == 0) {
+    this->state.OnConnected(this->service);
+  }
   if (aOutcome.error == EventError::kNone && this->relay->Head().notExecuted) {
     this->EndAttempt(AttemptResult::kRejected);
     this->OnNotExecuted("turned_away");
@@ -185,6 +190,8 @@
   } else if (!aOutcome.sent) {
     this->EndAttempt(AttemptResult::kUnreachable);
     --this->attempts;
+    ++this->unreachableEndpoints;
+    this->state.OnUnreachable(this->service, this->endpointId);
     this->OnNotExecuted("unreachable");
   } else {
     this->EndAttempt(AttemptResult::kFailed);
@@ -247,6 +254,9 @@
             { { "endpoint", this->endpointId },
               { "why", aCause },
               { "status", std::to_string(this->ResponseStatus()) } }));
+  if (this->ForwardIfCutOff()) {
+    return;
+  }
   if (this->CanRetry()) {
     this->Retry();
     return;
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -16,6 +16,8 @@
 constexpr Millis kMaxRetryAfter(900);
 // Time limit of a forwarded call whose client sent no deadline.
 constexpr Millis kDefaultForwardTimeout(60000);
+// A call that could connect to none of so many endpoints goes to a peer.
+constexpr size_t kMaxUnreachableEndpoints = 2;
 
 } // namespace
 
@@ -171,11 +173,37 @@
 bool
 CallFlow::TryForward(const Refusal& aRefusal)
 {
-  if (this->call.forwarded || this->attempts > 0 || this->mayHaveExecuted ||
-      !this->PeerMayServe(aRefusal.reason)) {
+  return this->PeerMayServe(aRefusal.reason) && this->ForwardToPeer(aRefusal);
+}
+
+bool
+CallFlow::IsCutOff() const
+{
+  return this->unreachableEndpoints >= kMaxUnreachableEndpoints ||
+         this->state.reach.IsLost(this->service);
+}
+
+bool
+CallFlow::ForwardIfCutOff()
+{
+  if (!this->IsCutOff()) {
+    return false;
+  }
+  Refusal refusal;
+  refusal.reason = RefusalReason::kOverloaded;
+  refusal.retryAfter = this->DrawRetryAfter();
+  refusal.detail = "unreachable";
+  return this->ForwardToPeer(refusal);
+}
+
+bool
+CallFlow::ForwardToPeer(const Refusal& aRefusal)
+{
+  if (this->call.forwarded || this->attempts > 0 || this->mayHaveExecuted) {
     return false;
   }
-  const auto addresses = this->state.peers.ReadyAddresses(BootNow());
+  const auto addresses =
+    this->state.peers.ReadyAddresses(this->service, BootNow());
   if (addresses.empty()) {
     return false;
   }
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -113,6 +113,13 @@
   // Forwards the call to a random ready peer in place of refusing it with
   // aRefusal. False if it may not be forwarded or no peer is ready.
   bool TryForward(const Refusal& aRefusal);
+  // True if this host seems to reach no endpoint of the service.
+  bool IsCutOff() const;
+  // Forwards the call if IsCutOff and a peer is not. False: try it here.
+  bool ForwardIfCutOff();
+  // Forwards the call to a random peer that is ready and reaches the service.
+  // False if it may not be forwarded or there is none.
+  bool ForwardToPeer(const Refusal& aRefusal);
   // True if a peer may be able to serve a call that this host refuses for
   // aReason.
   bool PeerMayServe(RefusalReason aReason) const;
@@ -175,6 +182,10 @@
   std::set<std::string> triedEndpoints;
   // Sent attempts; connection failures are not counted.
   int attempts = 0;
+  // Endpoints to which no connection could be made.
+  size_t unreachableEndpoints = 0;
+  // The call tries whether a lost service is back.
+  bool isTrial = false;
   // A failed attempt may have executed the call.
   bool mayHaveExecuted = false;
   std::string endpointId;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -63,6 +63,7 @@
     hostReport.endpointLoads = this->state.dispatcher.OwnLoads();
     hostReport.quotaReports = this->state.quota.OwnReports(now);
     hostReport.quotaReports.merge(this->state.endpointQuota.OwnReports(now));
+    hostReport.lostServices = this->state.reach.Lost();
     hostReport.leavingEndpoints = this->state.endpoints.Leaving();
     this->state.quarantine.Expire(WallMillis());
     hostReport.quarantine = this->state.quarantine.Report(WallMillis());
@@ -102,6 +103,9 @@
     metrics.Set("tanagerseam_calls_waiting",
                 {},
                 static_cast<double>(this->state.dispatcher.QueuedCalls()));
+    metrics.Set("tanagerseam_services_lost",
+                {},
+                static_cast<double>(this->state.reach.Lost().size()));
     metrics.Set("tanagerseam_endpoints_with_rate_limit",
                 {},
                 static_cast<double>(this->state.rateLimits.Count()));
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -204,6 +204,32 @@
     aEndpoint, BootNow() + Millis(static_cast<int64_t>(holdMillis)));
 }
 
+void
+GatewayState::OnConnected(const std::string& aService)
+{
+  if (this->reach.OnConnected(aService)) {
+    LogInfo("service_regained", { { "service", aService } });
+  }
+}
+
+void
+GatewayState::OnUnreachable(const std::string& aService,
+                            const std::string& aEndpoint)
+{
+  const size_t endpoints = this->endpoints.Usable(aService).size();
+  const TimePoint now = BootNow();
+  if (!this->reach.OnUnreachable(aService, aEndpoint, endpoints, now)) {
+    return;
+  }
+  LogWarn(
+    "service_lost",
+    { { "service", aService },
+      { "last_endpoint", aEndpoint },
+      { "endpoints", std::to_string(endpoints) },
+      { "peers",
+        std::to_string(this->peers.ReadyAddresses(aService, now).size()) } });
+}
+
 std::optional<std::string>
 GatewayState::SoleVersion(const std::string& aService, TimePoint aSince)
 {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -18,6 +18,7 @@
 #include "gateway/stream_origin_client.h"
 #include "gateway/turn_budgets.h"
 #include "quarantine/quarantine.h"
+#include "reach/reach.h"
 
 namespace tanagerseam {
 
@@ -55,6 +56,10 @@
   bool StoreUnavailable(TimePoint aNow) const;
   // True if this host can admit and serve calls and is not draining.
   bool Ready(TimePoint aNow) const;
+  // A new connection to an endpoint of the service worked.
+  void OnConnected(const std::string& aService);
+  // No connection to the endpoint could be made.
+  void OnUnreachable(const std::string& aService, const std::string& aEndpoint);
   // The only version of the service since aSince, if that is certain.
   std::optional<std::string> SoleVersion(const std::string& aService,
                                          TimePoint aSince);
@@ -92,6 +97,7 @@
   QuotaClient endpointQuotaClient;
   StreamOriginClient streamOrigins;
   VersionHistory versions;
+  ServiceReach reach;
   RetryingLog persistentLog;
   BudgetService budgets;
   TurnBudgets turnBudgets;
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERSEAM_GATEWAY_PEER_TABLE_H_
 #define TANAGERSEAM_GATEWAY_PEER_TABLE_H_
 
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,12 +20,15 @@
 
   void RecordReport(const HostReport& aReport, TimePoint aNow)
   {
-    this->peers[aReport.host] = { aReport.callAddress, aReport.ready, aNow };
+    this->peers[aReport.host] = {
+      aReport.callAddress, aReport.ready, aReport.lostServices, aNow
+    };
   }
 
   // Call addresses of the peers whose unexpired report says that they are
-  // ready.
-  std::vector<std::string> ReadyAddresses(TimePoint aNow) const
+  // ready and reach the service. An empty service stands for any.
+  std::vector<std::string> ReadyAddresses(const std::string& aService,
+                                          TimePoint aNow) const
   {
     const Millis lifetime =
       kReportLifetime * FleetLink::ReportPeriod(this->peers.size());
@@ -32,7 +36,10 @@
     for (const auto& entry : this->peers) {
       const Peer& peer = entry.second;
       const bool current = aNow - peer.lastReportAt <= lifetime;
-      if (peer.ready && current && !peer.callAddress.empty()) {
+      const auto& lost = peer.lostServices;
+      const bool reaches =
+        std::find(lost.begin(), lost.end(), aService) == lost.end();
+      if (peer.ready && current && reaches && !peer.callAddress.empty()) {
         addresses.push_back(peer.callAddress);
       }
     }
@@ -44,6 +51,8 @@
   {
     std::string callAddress;
     bool ready = false;
+    // Services of which it reaches no endpoint.
+    std::vector<std::string> lostServices;
     TimePoint lastReportAt{};
   };
 
