--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -1,11 +1,12 @@
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <map>
 
 #include "fleet/fleet.h"
 #include "fleet/fleet_wire_generated.h"
+#include "fleet/peer_requests.h"
 #include "fleet/report_wire.h"
+#include "fleet/response_wire.h"
 
 namespace tanagerseam {
 
@@ -17,48 +18,6 @@
 // host has sent nothing for this long; see IsNewIncarnation.
 constexpr Millis kIncarnationTimeout(700);
 constexpr size_t kMaxDatagram = 60u << 10;
-// Requests remembered for each peer, to answer retransmissions. Those that are
-// settled are remembered for kSettledMemory only.
-constexpr size_t kMaxRememberedRequests = 2048;
-constexpr Millis kSettledMemory(5000);
-
-ReserveStatus
-StatusFromWire(uint8_t aStatus)
-{
-  constexpr std::array<ReserveStatus, 4> kStatuses = {
-    ReserveStatus::kReserved,
-    ReserveStatus::kBudgetExhausted,
-    ReserveStatus::kUnavailable,
-    ReserveStatus::kOverQuota,
-  };
-  return aStatus < kStatuses.size() ? kStatuses[aStatus]
-                                    : ReserveStatus::kUnavailable;
-}
-
-// aResponse: null if there was none in time.
-ReserveResponse
-ReserveResponseOf(const fleetwire::DatagramT* aResponse)
-{
-  const fleetwire::TokensReservedT* table =
-    aResponse == nullptr ? nullptr : aResponse->body.AsTokensReserved();
-  if (table == nullptr) {
-    return { ReserveStatus::kNoAnswer, false };
-  }
-  return { StatusFromWire(table->verdict), table->begins };
-}
-
-StreamAnswer
-StreamAnswerOf(const fleetwire::DatagramT* aResponse)
-{
-  const fleetwire::StreamFoundT* table =
-    aResponse == nullptr ? nullptr : aResponse->body.AsStreamFound();
-  StreamAnswer answer;
-  answer.answered = table != nullptr;
-  if (answer.answered && !table->version.empty()) {
-    answer.origin = StreamOrigin{ table->service, table->version };
-  }
-  return answer;
-}
 
 } // namespace
 
@@ -83,26 +42,6 @@
     asio::steady_timer timer;
     ResponseHandler done;
   };
-  // A reservation or a call on a quota that a peer has requested.
-  struct PeerRequest
-  {
-    // Empty for a call on a quota.
-    TokenRequest request;
-    // Empty until onReserve has responded.
-    std::optional<ReserveResponse> response;
-    // The reservation has ended, or there is none.
-    bool settled = false;
-    TimePoint receivedAt{};
-  };
-  // The remembered requests of one incarnation of a peer.
-  struct PeerRequests
-  {
-    uint64_t startTime = 0;
-    TimePoint lastMessageAt{};
-    // Ids in order of arrival.
-    std::deque<uint64_t> order;
-    std::unordered_map<uint64_t, PeerRequest> byId;
-  };
   struct LastReport
   {
     uint64_t startTime = 0;
@@ -309,49 +248,19 @@
     return requests;
   }
 
-  static bool IsReserved(const PeerRequest& aRequest)
-  {
-    return aRequest.response &&
-           aRequest.response->status == ReserveStatus::kReserved;
-  }
-
   // Settles the open reservations of an incarnation that has ended. All their
   // tokens count as used.
   void SettleOpen(PeerRequests& aFormer)
   {
     for (auto& entry : aFormer.byId) {
       PeerRequest& reservation = entry.second;
-      if (IsReserved(reservation) && !reservation.settled) {
+      if (reservation.IsReserved() && !reservation.settled) {
         this->handlers.onSettle(reservation.request,
                                 reservation.request.maxTokens);
       }
     }
   }
 
-  // False for a retransmission of a known request.
-  static bool Remember(PeerRequests& aRequests,
-                       uint64_t aId,
-                       PeerRequest aRequest)
-  {
-    if (!aRequests.byId.emplace(aId, std::move(aRequest)).second) {
-      return false;
-    }
-    aRequests.order.push_back(aId);
-    while (MayForgetFirst(aRequests)) {
-      aRequests.byId.erase(aRequests.order.front());
-      aRequests.order.pop_front();
-    }
-    return true;
-  }
-
-  static bool MayForgetFirst(const PeerRequests& aRequests)
-  {
-    const PeerRequest& first = aRequests.byId.at(aRequests.order.front());
-    const bool old = BootNow() - first.receivedAt > kSettledMemory;
-    return aRequests.order.size() > kMaxRememberedRequests ||
-           (first.settled && old);
-  }
-
   void SendReserveResponse(const asio::ip::udp::endpoint& aTo,
                            uint64_t aId,
                            ReserveResponse aResponse)
@@ -375,8 +284,7 @@
                                 table.budget,
                                 table.most };
     const bool settled = false;
-    if (!Remember(
-          requests, id, { request, std::nullopt, settled, BootNow() })) {
+    if (!requests.Remember(id, { request, std::nullopt, settled, BootNow() })) {
       if (const auto response = requests.byId[id].response) {
         this->SendReserveResponse(from, id, *response);
       }
@@ -391,38 +299,13 @@
                              });
   }
 
-  static ReserveStatus StatusOf(QuotaAnswer aAnswer)
-  {
-    switch (aAnswer) {
-      case QuotaAnswer::kGranted:
-        return ReserveStatus::kReserved;
-      case QuotaAnswer::kRefused:
-        return ReserveStatus::kOverQuota;
-      case QuotaAnswer::kNoAnswer:
-        break;
-    }
-    return ReserveStatus::kUnavailable;
-  }
-
-  static QuotaAnswer AnswerOf(ReserveStatus aStatus)
-  {
-    switch (aStatus) {
-      case ReserveStatus::kReserved:
-        return QuotaAnswer::kGranted;
-      case ReserveStatus::kOverQuota:
-        return QuotaAnswer::kRefused;
-      default:
-        return QuotaAnswer::kNoAnswer;
-    }
-  }
-
   void HandleAcquireQuota(const fleetwire::DatagramT& aDatagram)
   {
     const fleetwire::AcquireQuotaT& table = *aDatagram.body.AsAcquireQuota();
     PeerRequests& requests = this->RequestsOf(aDatagram);
     const bool settled = true;
-    if (Remember(
-          requests, table.request, { {}, std::nullopt, settled, BootNow() })) {
+    if (requests.Remember(table.request,
+                          { {}, std::nullopt, settled, BootNow() })) {
       const QuotaAnswer answer =
         this->handlers.onAcquireQuota(aDatagram.host, table.organisation);
       requests.byId[table.request].response =
@@ -485,7 +368,7 @@
     }
     PeerRequest& reservation = found->second;
     reservation.settled = true;
-    if (IsReserved(reservation)) {
+    if (reservation.IsReserved()) {
       this->handlers.onSettle(reservation.request, table.used);
     }
   }
@@ -579,7 +462,7 @@
     table,
     aWait,
     [done = std::move(aDone)](const fleetwire::DatagramT* aResponse) {
-      done(Impl::AnswerOf(ReserveResponseOf(aResponse).status));
+      done(AnswerOf(ReserveResponseOf(aResponse).status));
     });
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -12,12 +12,12 @@
 //   gateway.Drain();                     // on SIGTERM
 //
 // Steps of a call, each of which may end it with a refusal:
-//   parse, route, API key, history, token budget, rate quota, placement, send,
-//   relay
+//   parse, route, API key, origin of a resumed stream, history, token budget,
+//   rate quota, placement, send, relay
 //
-// A call that this host can't admit or serve, because the store is unavailable
-// or it has no usable endpoint, is forwarded at most once to a peer that can;
-// see forwarded_call.h.
+// A call that this host can't admit or serve, because the store is unavailable,
+// it has no usable endpoint or it reaches none, is forwarded at most once to a
+// peer that can; see forwarded_call.h.
 //
 // Everything runs on one event loop, without locks. Invariants:
 //  - a call that is not idempotent is sent again only if every earlier attempt
@@ -26,6 +26,7 @@
 //    can still execute it;
 //  - a turn of a route that keeps history is in the record log before the
 //    client sees the end of its stream;
+//  - a resumed stream goes on at the software version that began it;
 //  - the budget tokens of a turn are reserved before it is sent;
 //  - API keys are accepted only while the catalog was confirmed within
 //    `keyFreshness`.
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -126,14 +126,6 @@
          "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
-inline std::string
-Chunk(const std::string& aText)
-{
-  char size[16];
-  snprintf(size, sizeof size, "%zx\r\n", aText.size());
-  return size + aText + "\r\n";
-}
-
 inline std::string
 MakeStreamHead(const std::string& aRequest)
 {
--- a/gateway/testing/raw_peer.h
+++ b/gateway/testing/raw_peer.h
@@ -40,6 +40,15 @@
          aResponse.size() >= end + 4 + std::stoul(aResponse.substr(at + 16));
 }
 
+// aText as one chunk of a body.
+inline std::string
+Chunk(const std::string& aText)
+{
+  char size[16];
+  snprintf(size, sizeof size, "%zx\r\n", aText.size());
+  return size + aText + "\r\n";
+}
+
 // The HTTP status; 0 for a response that is shorter than a status line.
 inline int
 StatusOf(const std::string& aResponse)
--- a/tests/integration/gateway_stream_version_test.cc
+++ b/tests/integration/gateway_stream_version_test.cc
@@ -15,18 +15,10 @@
 constexpr int kStreams = 40;
 // As ConfigurationJson says.
 constexpr Millis kRouteTimeout(2000);
-// The engine breaks off after this event, and after any later one on request.
+// The engine breaks a new stream off after this event.
 constexpr int kLastEventBeforeBreak = 2;
 constexpr int kLastEvent = 4;
 
-std::string
-Chunked(const std::string& aText)
-{
-  char size[16];
-  snprintf(size, sizeof size, "%zx\r\n", aText.size());
-  return size + aText + "\r\n";
-}
-
 // Events say which version wrote them.
 PresetResponse
 StreamAs(const std::string& aVersion, const std::string& aRequest)
@@ -43,7 +35,7 @@
                    "Transfer-Encoding: chunked\r\n\r\n";
   for (int event = first; event <= last; ++event) {
     response.bytes +=
-      Chunked("id: " + std::to_string(event) + "\ndata: " + aVersion + "\n\n");
+      Chunk("id: " + std::to_string(event) + "\ndata: " + aVersion + "\n\n");
   }
   response.bytes += breaks ? "" : "0\r\n\r\n";
   response.close = breaks;
