--- a/call/call.h
+++ b/call/call.h
@@ -115,6 +115,8 @@
   // Calls per second that the endpoint takes from all hosts together; unset if
   // it names no limit.
   std::optional<double> callsPerSecond;
+  // For how much longer the endpoint is cold; unset if it does not say.
+  std::optional<Millis> coldLeft;
   // In the response of a peer: id of the endpoint that is about to shut down.
   // Empty if there is none.
   std::string leavingEndpoint;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -11,6 +11,7 @@
 //   endpoints.Put(entry, now);
 //   endpoints.Remove("i-17", now);
 //   endpoints.MarkLeaving({ "i-18", startedAt, WallMillis() }, now);
+//   endpoints.SetZoneEvacuated("zone-a", true);
 //   for (const EndpointEntry* endpoint : endpoints.Usable("drafting")) { ... }
 //
 // A Catalog is immutable: a new configuration version is a new Catalog. A route
@@ -34,6 +35,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -91,6 +93,8 @@
   bool allowsAnonymous = false;
   // A broken stream may be resumed on another endpoint.
   bool resumable = false;
+  // Regions that calls may be sent to; empty for any.
+  std::vector<std::string> allowedRegions;
 };
 
 struct ServiceEntry
@@ -98,6 +102,11 @@
   std::string name;
   // Tokens per stream event; 0 for services that do not stream tokens.
   int tokensPerEvent = 0;
+  // An endpoint that has just started is cold for this long, and takes so many
+  // calls per second from all hosts together; 0 for no limit. Below 0 if the
+  // configuration is invalid: what held before holds on.
+  Millis coldTime{ 0 };
+  double coldCallsPerSecond = 0;
 };
 
 struct OrganisationEntry
@@ -109,6 +118,8 @@
   // Limit in calls per second over the whole fleet; 0 for no limit.
   double ratePerSecond = 0;
   double burst = 0;
+  // Regions that its calls may be sent to; empty for any.
+  std::vector<std::string> allowedRegions;
 };
 
 struct InputLimits
@@ -180,6 +191,8 @@
   bool draining = false;
   // Start of this incarnation, in milliseconds since the epoch; 0 if unknown.
   int64_t startedAtMillis = 0;
+  // For how much longer it is cold, as of when the entry was written.
+  Millis coldLeft{ 0 };
 };
 
 // An endpoint's announcement that it is about to shut down.
@@ -281,6 +294,12 @@
   bool MarkLeaving(const LeavingEndpoint& aAnnouncement, TimePoint aNow);
   // The announcements of endpoints that have an entry.
   std::vector<LeavingEndpoint> Leaving() const;
+  // Endpoints of an evacuated zone are not usable.
+  void SetZoneEvacuated(const std::string& aZone, bool aEvacuated);
+  bool IsZoneEvacuated(const std::string& aZone) const
+  {
+    return this->evacuatedZones.count(aZone) > 0;
+  }
   // Erases removed entries whose grace or kMassExpiryWindow has passed and
   // returns their ids.
   std::vector<std::string> PurgeRemoved(TimePoint aNow);
@@ -318,6 +337,7 @@
   void DetectMassExpiry(TimePoint aNow);
 
   Millis recoveryGrace;
+  std::set<std::string> evacuatedZones;
   std::map<std::string, Entry> entries;
   // By endpoint id.
   std::map<std::string, Announcement> announcements;
--- a/catalog/endpoint_table.cc
+++ b/catalog/endpoint_table.cc
@@ -82,7 +82,18 @@
 {
   const bool gone = aEntry.removed && aEntry.removalConfirmed;
   return !aEntry.endpoint.draining && !gone &&
-         this->announcements.count(aEntry.endpoint.id) == 0;
+         this->announcements.count(aEntry.endpoint.id) == 0 &&
+         !this->IsZoneEvacuated(aEntry.endpoint.zone);
+}
+
+void
+EndpointTable::SetZoneEvacuated(const std::string& aZone, bool aEvacuated)
+{
+  if (aEvacuated) {
+    this->evacuatedZones.insert(aZone);
+  } else {
+    this->evacuatedZones.erase(aZone);
+  }
 }
 
 void
--- a/cli/trace_command.cc
+++ b/cli/trace_command.cc
@@ -13,9 +13,10 @@
 constexpr int64_t kContextWindowMillis = 3000;
 
 constexpr std::string_view kContextEvents[] = {
-  "started",         "stopping",         "reloaded",    "dependency_lost",
-  "dependency_back", "catalog_applied",  "member_gone", "endpoint_changed",
-  "catalog_fresh",   "endpoint_removed",
+  "started",          "stopping",         "reloaded",
+  "dependency_lost",  "dependency_back",  "catalog_applied",
+  "member_gone",      "endpoint_changed", "catalog_fresh",
+  "endpoint_removed", "zone_evacuated",   "zone_evacuation_ended",
 };
 
 struct LogLine
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -87,7 +87,11 @@
     return std::nullopt;
   }
   const HostPort address = SplitAddress(fields["address"].get<std::string>());
-  return FleetMember{ aHost, address.ip, address.port };
+  const auto zone = fields.find("zone");
+  const bool hasZone = zone != fields.end() && zone->is_string();
+  return FleetMember{
+    aHost, address.ip, address.port, hasZone ? zone->get<std::string>() : ""
+  };
 }
 
 } // namespace
@@ -136,6 +140,8 @@
     settings.freshStart = aSettings.freshStart;
     settings.keyFreshness = aSettings.keyFreshness;
     settings.quotaSlack = aSettings.quotaSlack;
+    settings.coldSlack = aSettings.coldSlack;
+    settings.regions = ZoneRegions(aSettings.regionByZone);
     settings.logPartitions = aSettings.storePartitions;
     return settings;
   }
@@ -179,22 +185,33 @@
             { { "dependency", aName } });
   }
 
+  void ApplyOperatorRecord(const KeyedChange& aChange)
+  {
+    if (const auto zone = EvacuatedZoneOf(aChange.key)) {
+      this->gateway.PutEvacuation(
+        { *zone, aChange.value.has_value(), aChange.offset });
+      return;
+    }
+    if (aChange.key != kConfigurationKey || !aChange.value) {
+      return;
+    }
+    auto content = ParseConfiguration(*aChange.value);
+    if (content) {
+      this->gateway.SetCatalog(
+        std::make_shared<const Catalog>(std::move(*content)));
+    }
+  }
+
   KeyedFeedHandlers ConfigurationHandlers()
   {
     KeyedFeedHandlers handlers;
-    handlers.onRecord = [this](const std::string& aKey, const auto& aValue) {
-      if (aKey != kConfigurationKey || !aValue) {
-        return;
-      }
-      auto content = ParseConfiguration(*aValue);
-      if (content) {
-        this->gateway.SetCatalog(
-          std::make_shared<const Catalog>(std::move(*content)));
-      }
+    handlers.onRecord = [this](const KeyedChange& aChange) {
+      this->ApplyOperatorRecord(aChange);
     };
-    handlers.onCaughtUp = [this](TimePoint aAskedAt) {
+    handlers.onCaughtUp = [this](TimePoint aAskedAt, int64_t aEndOffset) {
       this->LogDependencyChange(
         "configuration", this->configurationLost, false);
+      this->gateway.ConfirmEvacuations(aEndOffset);
       this->gateway.ConfirmCatalog(aAskedAt);
     };
     handlers.onReadFailed = [this](LogFault) {
@@ -228,10 +245,10 @@
   KeyedFeedHandlers ServerHandlers()
   {
     KeyedFeedHandlers handlers;
-    handlers.onRecord = [this](const std::string& aKey, const auto& aValue) {
-      this->ApplyServerEntry(aKey, aValue);
+    handlers.onRecord = [this](const KeyedChange& aChange) {
+      this->ApplyServerEntry(aChange.key, aChange.value);
     };
-    handlers.onCaughtUp = [this](TimePoint) {
+    handlers.onCaughtUp = [this](TimePoint, int64_t) {
       this->LogDependencyChange("servers", this->serversLost, false);
       this->gateway.ConfirmEndpoints();
     };
@@ -245,14 +262,14 @@
   KeyedFeedHandlers MemberHandlers()
   {
     KeyedFeedHandlers handlers;
-    handlers.onRecord = [this](const std::string& aKey, const auto& aValue) {
-      if (!aValue) {
-        this->gateway.RemoveMember(aKey);
-      } else if (const auto member = ParseMember(aKey, *aValue)) {
+    handlers.onRecord = [this](const KeyedChange& aChange) {
+      if (!aChange.value) {
+        this->gateway.RemoveMember(aChange.key);
+      } else if (const auto member = ParseMember(aChange.key, *aChange.value)) {
         this->gateway.PutMember(*member, !this->membersLoaded);
       }
     };
-    handlers.onCaughtUp = [this](TimePoint) {
+    handlers.onCaughtUp = [this](TimePoint, int64_t) {
       this->membersLoaded = true;
       this->gateway.ConfirmMembers();
     };
--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -44,6 +44,18 @@
   return Millis(std::llround(seconds * 1000));
 }
 
+// The bound on a cold endpoint's calls in one second is
+// rate x cold_overage + cold_tolerance.
+QuotaSlack
+ReadColdSlack(SectionReader& aReader)
+{
+  QuotaSlack slack{ Millis(1000), 0, 0 };
+  slack.overage = aReader.Real("cold_overage", 1, 1, 1 + kMaxOverage) - 1;
+  slack.tolerance =
+    aReader.Real("cold_tolerance", slack.tolerance, 0, kMaxToleranceCalls);
+  return slack;
+}
+
 QuotaSlack
 ReadQuotaSlack(SectionReader& aReader)
 {
@@ -74,6 +86,7 @@
   aSettings.shutdownLimit =
     ReadSeconds(aReader, "shutdown_limit_s", aSettings.shutdownLimit, 0.1);
   aSettings.quotaSlack = ReadQuotaSlack(aReader);
+  aSettings.coldSlack = ReadColdSlack(aReader);
 }
 
 void
@@ -108,6 +121,10 @@
     SectionReader reader(file.name, section, aFindings);
     if (section.kind == "gateway") {
       ReadGateway(reader, settings);
+    } else if (section.kind == "zones") {
+      for (const IniValue& value : section.values) {
+        settings.regionByZone[value.key] = reader.RequiredText(value.key);
+      }
     } else if (section.kind == "platform") {
       hasPlatform = true;
       ReadPlatform(reader, settings);
--- a/daemon/gateway_settings.h
+++ b/daemon/gateway_settings.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERSEAM_DAEMON_GATEWAY_SETTINGS_H_
 #define TANAGERSEAM_DAEMON_GATEWAY_SETTINGS_H_
 
+#include <map>
 #include <string>
 
 #include "kernel/kernel.h"
@@ -27,6 +28,10 @@
   Millis keyFreshness{ 5000 };
   // Bound on the use of an organisation above its cap.
   QuotaSlack quotaSlack;
+  // Bound on the calls to a cold endpoint above its rate.
+  QuotaSlack coldSlack{ Millis(1000), 0, 0 };
+  // The region of each zone; empty where regions play no part.
+  std::map<std::string, std::string> regionByZone;
   // Time from SIGTERM until the platform kills the process.
   Millis shutdownLimit{ 8000 };
   // Time from SIGTERM until clients have moved to other hosts.
--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -281,8 +281,11 @@
     EndpointState& state = entry.second;
     const bool rightVersion =
       !aCall.version || *aCall.version == state.endpoint.version;
+    const bool rightRegion =
+      !aCall.allowedRegions ||
+      aCall.allowedRegions->count(state.endpoint.region) > 0;
     if (state.service != aCall.service || !state.takesCalls || !rightVersion ||
-        aCall.excludedEndpoints.count(entry.first) > 0) {
+        !rightRegion || aCall.excludedEndpoints.count(entry.first) > 0) {
       continue;
     }
     all.push_back(&state);
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -108,6 +108,8 @@
   std::optional<double> callsPerSecond;
   // Of its software.
   std::string version;
+  // Empty if unknown.
+  std::string region;
 };
 
 // A call to be placed on an endpoint.
@@ -136,6 +138,8 @@
   std::set<std::string> excludedEndpoints;
   // Only endpoints of this software version may get the call; any, if unset.
   std::optional<std::string> version;
+  // Only endpoints of these regions may get the call; any, if unset.
+  std::optional<std::set<std::string>> allowedRegions;
 };
 
 // A call and the endpoint to send it to now. The call counts as in flight until
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -34,11 +34,13 @@
 #include <restinio/asio_include.hpp>
 
 #include "catalog/catalog.h"
+#include "coldstart/coldstart.h"
 #include "dispatch/dispatch.h"
 #include "kernel/kernel.h"
 #include "quarantine/quarantine.h"
 #include "quota/quota.h"
 #include "resumption/resumption.h"
+#include "zones/zones.h"
 
 namespace tanagerseam {
 
@@ -47,6 +49,8 @@
   std::string host;
   std::string ip;
   uint16_t port = 0;
+  // Empty if its announcement does not say.
+  std::string zone;
 };
 
 struct HostReport
@@ -73,6 +77,9 @@
   QuarantineReport quarantine;
   // Services of which the host reaches no endpoint.
   std::vector<std::string> lostServices;
+  std::vector<ZoneEvacuation> evacuations;
+  // At most kMaxReportedCold are sent, those that stay cold longest.
+  std::vector<ColdReport> coldEndpoints;
 };
 
 // Asks for a reservation of tokens for one turn of a program.
@@ -169,6 +176,7 @@
   static constexpr size_t kMaxReportedOrganisations = 64;
   static constexpr size_t kMaxReportedLeaving = 64;
   static constexpr size_t kMaxReportedRateLimits = 64;
+  static constexpr size_t kMaxReportedCold = 64;
   // A request without a response is retransmitted after this time.
   static constexpr Millis kRetransmitInterval{ 12 };
   // Transmissions of a settlement until it is given up.
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -41,6 +41,14 @@
 struct DownEndpointBuilder;
 struct DownEndpointT;
 
+struct ZoneEvacuation;
+struct ZoneEvacuationBuilder;
+struct ZoneEvacuationT;
+
+struct ColdEndpoint;
+struct ColdEndpointBuilder;
+struct ColdEndpointT;
+
 struct LoadReport;
 struct LoadReportBuilder;
 struct LoadReportT;
@@ -891,6 +899,194 @@
 
 flatbuffers::Offset<DownEndpoint> CreateDownEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const DownEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ZoneEvacuationT : public flatbuffers::NativeTable {
+  typedef ZoneEvacuation TableType;
+  std::string zone{};
+  bool evacuated = false;
+  int64_t position = 0;
+};
+
+struct ZoneEvacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ZoneEvacuationT NativeTableType;
+  typedef ZoneEvacuationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_EVACUATED = 6,
+    VT_POSITION = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool evacuated() const {
+    return GetField<uint8_t>(VT_EVACUATED, 0) != 0;
+  }
+  int64_t position() const {
+    return GetField<int64_t>(VT_POSITION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_EVACUATED, 1) &&
+           VerifyField<int64_t>(verifier, VT_POSITION, 8) &&
+           verifier.EndTable();
+  }
+  ZoneEvacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ZoneEvacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ZoneEvacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ZoneEvacuationBuilder {
+  typedef ZoneEvacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ZoneEvacuation::VT_ZONE, zone);
+  }
+  void add_evacuated(bool evacuated) {
+    fbb_.AddElement<uint8_t>(ZoneEvacuation::VT_EVACUATED, static_cast<uint8_t>(evacuated), 0);
+  }
+  void add_position(int64_t position) {
+    fbb_.AddElement<int64_t>(ZoneEvacuation::VT_POSITION, position, 0);
+  }
+  explicit ZoneEvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ZoneEvacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ZoneEvacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ZoneEvacuation> CreateZoneEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool evacuated = false,
+    int64_t position = 0) {
+  ZoneEvacuationBuilder builder_(_fbb);
+  builder_.add_position(position);
+  builder_.add_zone(zone);
+  builder_.add_evacuated(evacuated);
+  return builder_.Finish();
+}
+
+struct ZoneEvacuation::Traits {
+  using type = ZoneEvacuation;
+  static auto constexpr Create = CreateZoneEvacuation;
+};
+
+inline flatbuffers::Offset<ZoneEvacuation> CreateZoneEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool evacuated = false,
+    int64_t position = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return tanagerseam::fleetwire::CreateZoneEvacuation(
+      _fbb,
+      zone__,
+      evacuated,
+      position);
+}
+
+flatbuffers::Offset<ZoneEvacuation> CreateZoneEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ColdEndpointT : public flatbuffers::NativeTable {
+  typedef ColdEndpoint TableType;
+  std::string id{};
+  int64_t started = 0;
+  uint32_t left_ms = 0;
+};
+
+struct ColdEndpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ColdEndpointT NativeTableType;
+  typedef ColdEndpointBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_STARTED = 6,
+    VT_LEFT_MS = 8
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t started() const {
+    return GetField<int64_t>(VT_STARTED, 0);
+  }
+  uint32_t left_ms() const {
+    return GetField<uint32_t>(VT_LEFT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LEFT_MS, 4) &&
+           verifier.EndTable();
+  }
+  ColdEndpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ColdEndpointT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ColdEndpoint> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ColdEndpointBuilder {
+  typedef ColdEndpoint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(ColdEndpoint::VT_ID, id);
+  }
+  void add_started(int64_t started) {
+    fbb_.AddElement<int64_t>(ColdEndpoint::VT_STARTED, started, 0);
+  }
+  void add_left_ms(uint32_t left_ms) {
+    fbb_.AddElement<uint32_t>(ColdEndpoint::VT_LEFT_MS, left_ms, 0);
+  }
+  explicit ColdEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ColdEndpoint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ColdEndpoint>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ColdEndpoint> CreateColdEndpoint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t started = 0,
+    uint32_t left_ms = 0) {
+  ColdEndpointBuilder builder_(_fbb);
+  builder_.add_started(started);
+  builder_.add_left_ms(left_ms);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct ColdEndpoint::Traits {
+  using type = ColdEndpoint;
+  static auto constexpr Create = CreateColdEndpoint;
+};
+
+inline flatbuffers::Offset<ColdEndpoint> CreateColdEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t started = 0,
+    uint32_t left_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return tanagerseam::fleetwire::CreateColdEndpoint(
+      _fbb,
+      id__,
+      started,
+      left_ms);
+}
+
+flatbuffers::Offset<ColdEndpoint> CreateColdEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const ColdEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LoadReportT : public flatbuffers::NativeTable {
   typedef LoadReport TableType;
   uint64_t sequence = 0;
@@ -905,6 +1101,8 @@
   std::vector<std::unique_ptr<tanagerseam::fleetwire::ClearedCallT>> cleared_calls{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::DownEndpointT>> down_endpoints{};
   std::vector<std::string> lost_services{};
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::ZoneEvacuationT>> evacuations{};
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::ColdEndpointT>> cold_endpoints{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -927,7 +1125,9 @@
     VT_BROKEN_CALLS = 20,
     VT_CLEARED_CALLS = 22,
     VT_DOWN_ENDPOINTS = 24,
-    VT_LOST_SERVICES = 26
+    VT_LOST_SERVICES = 26,
+    VT_EVACUATIONS = 28,
+    VT_COLD_ENDPOINTS = 30
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -965,6 +1165,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lost_services() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LOST_SERVICES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>> *>(VT_EVACUATIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> *cold_endpoints() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> *>(VT_COLD_ENDPOINTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -994,6 +1200,12 @@
            VerifyOffset(verifier, VT_LOST_SERVICES) &&
            verifier.VerifyVector(lost_services()) &&
            verifier.VerifyVectorOfStrings(lost_services()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
+           VerifyOffset(verifier, VT_COLD_ENDPOINTS) &&
+           verifier.VerifyVector(cold_endpoints()) &&
+           verifier.VerifyVectorOfTables(cold_endpoints()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1041,6 +1253,12 @@
   void add_lost_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost_services) {
     fbb_.AddOffset(LoadReport::VT_LOST_SERVICES, lost_services);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>>> evacuations) {
+    fbb_.AddOffset(LoadReport::VT_EVACUATIONS, evacuations);
+  }
+  void add_cold_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>>> cold_endpoints) {
+    fbb_.AddOffset(LoadReport::VT_COLD_ENDPOINTS, cold_endpoints);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1065,9 +1283,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>>> broken_calls = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>>> cleared_calls = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>> down_endpoints = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost_services = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost_services = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>>> evacuations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>>> cold_endpoints = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
+  builder_.add_cold_endpoints(cold_endpoints);
+  builder_.add_evacuations(evacuations);
   builder_.add_lost_services(lost_services);
   builder_.add_down_endpoints(down_endpoints);
   builder_.add_cleared_calls(cleared_calls);
@@ -1100,7 +1322,9 @@
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::BrokenCall>> *broken_calls = nullptr,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> *cleared_calls = nullptr,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *down_endpoints = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lost_services = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lost_services = nullptr,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>> *evacuations = nullptr,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> *cold_endpoints = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::EndpointCalls>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::OrganisationUse>(*organisations) : 0;
   auto call_address__ = call_address ? _fbb.CreateString(call_address) : 0;
@@ -1110,6 +1334,8 @@
   auto cleared_calls__ = cleared_calls ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>>(*cleared_calls) : 0;
   auto down_endpoints__ = down_endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>(*down_endpoints) : 0;
   auto lost_services__ = lost_services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lost_services) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>>(*evacuations) : 0;
+  auto cold_endpoints__ = cold_endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>>(*cold_endpoints) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       sequence,
@@ -1123,7 +1349,9 @@
       broken_calls__,
       cleared_calls__,
       down_endpoints__,
-      lost_services__);
+      lost_services__,
+      evacuations__,
+      cold_endpoints__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2158,6 +2386,70 @@
       _seen);
 }
 
+inline ZoneEvacuationT *ZoneEvacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ZoneEvacuationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ZoneEvacuation::UnPackTo(ZoneEvacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = evacuated(); _o->evacuated = _e; }
+  { auto _e = position(); _o->position = _e; }
+}
+
+inline flatbuffers::Offset<ZoneEvacuation> ZoneEvacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateZoneEvacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ZoneEvacuation> CreateZoneEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const ZoneEvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneEvacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _evacuated = _o->evacuated;
+  auto _position = _o->position;
+  return tanagerseam::fleetwire::CreateZoneEvacuation(
+      _fbb,
+      _zone,
+      _evacuated,
+      _position);
+}
+
+inline ColdEndpointT *ColdEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ColdEndpointT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ColdEndpoint::UnPackTo(ColdEndpointT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = started(); _o->started = _e; }
+  { auto _e = left_ms(); _o->left_ms = _e; }
+}
+
+inline flatbuffers::Offset<ColdEndpoint> ColdEndpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateColdEndpoint(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ColdEndpoint> CreateColdEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const ColdEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ColdEndpointT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _started = _o->started;
+  auto _left_ms = _o->left_ms;
+  return tanagerseam::fleetwire::CreateColdEndpoint(
+      _fbb,
+      _id,
+      _started,
+      _left_ms);
+}
+
 inline LoadReportT::LoadReportT(const LoadReportT &o)
       : sequence(o.sequence),
         endpoints(o.endpoints),
@@ -2176,6 +2468,10 @@
   for (const auto &cleared_calls_ : o.cleared_calls) { cleared_calls.emplace_back((cleared_calls_) ? new tanagerseam::fleetwire::ClearedCallT(*cleared_calls_) : nullptr); }
   down_endpoints.reserve(o.down_endpoints.size());
   for (const auto &down_endpoints_ : o.down_endpoints) { down_endpoints.emplace_back((down_endpoints_) ? new tanagerseam::fleetwire::DownEndpointT(*down_endpoints_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new tanagerseam::fleetwire::ZoneEvacuationT(*evacuations_) : nullptr); }
+  cold_endpoints.reserve(o.cold_endpoints.size());
+  for (const auto &cold_endpoints_ : o.cold_endpoints) { cold_endpoints.emplace_back((cold_endpoints_) ? new tanagerseam::fleetwire::ColdEndpointT(*cold_endpoints_) : nullptr); }
 }
 
 inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
@@ -2191,6 +2487,8 @@
   std::swap(cleared_calls, o.cleared_calls);
   std::swap(down_endpoints, o.down_endpoints);
   std::swap(lost_services, o.lost_services);
+  std::swap(evacuations, o.evacuations);
+  std::swap(cold_endpoints, o.cold_endpoints);
   return *this;
 }
 
@@ -2215,6 +2513,8 @@
   { auto _e = cleared_calls(); if (_e) { _o->cleared_calls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cleared_calls[_i] = std::unique_ptr<tanagerseam::fleetwire::ClearedCallT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = down_endpoints(); if (_e) { _o->down_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->down_endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::DownEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = lost_services(); if (_e) { _o->lost_services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lost_services[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<tanagerseam::fleetwire::ZoneEvacuationT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = cold_endpoints(); if (_e) { _o->cold_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold_endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::ColdEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2237,6 +2537,8 @@
   auto _cleared_calls = _o->cleared_calls.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ClearedCall>> (_o->cleared_calls.size(), [](size_t i, _VectorArgs *__va) { return CreateClearedCall(*__va->__fbb, __va->__o->cleared_calls[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _down_endpoints = _o->down_endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> (_o->down_endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateDownEndpoint(*__va->__fbb, __va->__o->down_endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _lost_services = _o->lost_services.size() ? _fbb.CreateVectorOfStrings(_o->lost_services) : 0;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneEvacuation(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _cold_endpoints = _o->cold_endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> (_o->cold_endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateColdEndpoint(*__va->__fbb, __va->__o->cold_endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       _sequence,
@@ -2250,7 +2552,9 @@
       _broken_calls,
       _cleared_calls,
       _down_endpoints,
-      _lost_services);
+      _lost_services,
+      _evacuations,
+      _cold_endpoints);
 }
 
 inline ReserveTokensT *ReserveTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/fleet/member_table.cc
+++ b/fleet/member_table.cc
@@ -81,4 +81,11 @@
   return members;
 }
 
+std::string
+MemberTable::ZoneOf(const std::string& aHost) const
+{
+  auto found = this->entries.find(aHost);
+  return found == this->entries.end() ? "" : found->second.member.zone;
+}
+
 } // namespace tanagerseam
--- a/fleet/member_table.h
+++ b/fleet/member_table.h
@@ -53,6 +53,8 @@
   // Removes and returns the members that have expired.
   std::vector<std::string> RemoveExpired(TimePoint aNow);
   std::vector<FleetMember> Members() const;
+  // Empty for an unknown host.
+  std::string ZoneOf(const std::string& aHost) const;
 
 private:
   struct Entry
--- a/fleet/report_wire.cc
+++ b/fleet/report_wire.cc
@@ -65,6 +65,24 @@
   return report;
 }
 
+void
+ColdToWire(std::vector<ColdReport> aReports, fleetwire::LoadReportT& aTable)
+{
+  std::sort(aReports.begin(),
+            aReports.end(),
+            [](const ColdReport& aLeft, const ColdReport& aRight) {
+              return aLeft.coldLeft > aRight.coldLeft;
+            });
+  aReports.resize(std::min(aReports.size(), FleetLink::kMaxReportedCold));
+  for (const ColdReport& report : aReports) {
+    auto entry = std::make_unique<fleetwire::ColdEndpointT>();
+    entry->id = report.id;
+    entry->started = report.startedAtMillis;
+    entry->left_ms = static_cast<uint32_t>(report.coldLeft.count());
+    aTable.cold_endpoints.push_back(std::move(entry));
+  }
+}
+
 } // namespace
 
 fleetwire::LoadReportT
@@ -107,6 +125,14 @@
     table.rate_limits.push_back(std::move(entry));
   }
   QuarantineToWire(aReport.quarantine, table);
+  for (const ZoneEvacuation& evacuation : aReport.evacuations) {
+    auto entry = std::make_unique<fleetwire::ZoneEvacuationT>();
+    entry->zone = evacuation.zone;
+    entry->evacuated = evacuation.evacuated;
+    entry->position = evacuation.position;
+    table.evacuations.push_back(std::move(entry));
+  }
+  ColdToWire(aReport.coldEndpoints, table);
   if (table.organisations.size() > FleetLink::kMaxReportedOrganisations) {
     std::sort(table.organisations.begin(),
               table.organisations.end(),
@@ -145,6 +171,14 @@
     }
     report.rateLimits.push_back(std::move(limit));
   }
+  for (const auto& entry : table.evacuations) {
+    report.evacuations.push_back(
+      { entry->zone, entry->evacuated, entry->position });
+  }
+  for (const auto& entry : table.cold_endpoints) {
+    report.coldEndpoints.push_back(
+      { entry->id, entry->started, Millis(entry->left_ms) });
+  }
   for (const auto& entry : table.endpoints) {
     report.endpointLoads[entry.endpoint()] = entry.calls();
   }
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -1,4 +1,6 @@
 // The steps of a call up to its placement on an endpoint.
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 
 #include "gateway/call_flow.h"
@@ -369,6 +371,18 @@
   }
 }
 
+RegionSet
+CallFlow::AllowedRegions() const
+{
+  if (this->route == nullptr) {
+    return std::nullopt;
+  }
+  const std::vector<std::string> any;
+  return IntersectRegions(
+    this->route->allowedRegions,
+    this->organisation == nullptr ? any : this->organisation->allowedRegions);
+}
+
 DispatchCall
 CallFlow::MakeDispatchCall() const
 {
@@ -396,6 +410,7 @@
   if (this->origin) {
     dispatchCall.version = this->origin->version;
   }
+  dispatchCall.allowedRegions = this->AllowedRegions();
   return dispatchCall;
 }
 
@@ -430,6 +445,13 @@
                  "no endpoint of version " + this->origin->version);
     return;
   }
+  const RegionSet allowed = this->AllowedRegions();
+  if (noEndpoint && allowed &&
+      !this->state.endpoints.Usable(this->service).empty()) {
+    this->Refuse(RefusalReason::kNoEndpointInRegion,
+                 "no endpoint in " + absl::StrJoin(*allowed, ","));
+    return;
+  }
   this->RefuseWithRetryAfter(
     noEndpoint ? RefusalReason::kNoEndpoint : RefusalReason::kOverloaded,
     "service utilisation " + std::to_string(aRefused.utilisation),
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -26,7 +26,7 @@
   }
   this->endpointId = aPlacement.endpoint;
   this->placed = true;
-  const auto rateLimit = this->state.rateLimits.Find(aPlacement.endpoint);
+  const auto rateLimit = this->state.CallsPerSecond(aPlacement.endpoint);
   const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
   LogInfo("placed",
           this->WithCallIds(
@@ -83,8 +83,10 @@
     this->OnNotExecuted("endpoint_gone");
     return;
   }
-  if (this->origin && this->origin->version != endpoint->version) {
-    // It has started again since it was chosen.
+  const bool otherVersion =
+    this->origin && this->origin->version != endpoint->version;
+  if (otherVersion || this->state.endpoints.IsZoneEvacuated(endpoint->zone)) {
+    // It has started again, or its zone was evacuated, since it was chosen.
     this->EndAttempt(AttemptResult::kRejected);
     this->Place();
     return;
@@ -131,6 +133,7 @@
   }
   this->state.OnRateLimit(
     this->endpointId, aHead.callsPerSecond, this->sentAtMillis);
+  this->state.OnColdLeft(this->endpointId, aHead.coldLeft);
   if (aHead.leaving && this->call.forwarded) {
     this->state.dependencies.dialect.AddLeavingEndpoint(aHead.headers,
                                                         this->endpointId);
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -164,12 +164,32 @@
       return this->state.persistentLog.IsUnavailable(now) ||
              this->state.StoreUnavailable(now);
     case RefusalReason::kNoEndpoint:
-      return this->state.endpoints.Usable(this->service).empty();
+      return this->state.endpoints.Usable(this->service).empty() &&
+             !this->state.IsEvacuated(this->service);
     default:
       return false;
   }
 }
 
+std::vector<std::string>
+CallFlow::PeersForCall() const
+{
+  const ZoneRegions& regions = this->state.settings.regions;
+  RegionSet allowed = this->AllowedRegions();
+  if (this->route == nullptr && regions.HasSeveralRegions()) {
+    // The configuration may keep the call in this region.
+    allowed = { { regions.RegionOf(this->state.settings.zone) } };
+  }
+  std::vector<std::string> addresses;
+  for (const ReadyPeer& peer :
+       this->state.peers.Ready(this->service, BootNow())) {
+    if (regions.Allows(allowed, this->state.members.ZoneOf(peer.host))) {
+      addresses.push_back(peer.callAddress);
+    }
+  }
+  return addresses;
+}
+
 bool
 CallFlow::TryForward(const Refusal& aRefusal)
 {
@@ -202,8 +222,7 @@
   if (this->call.forwarded || this->attempts > 0 || this->mayHaveExecuted) {
     return false;
   }
-  const auto addresses =
-    this->state.peers.ReadyAddresses(this->service, BootNow());
+  const auto addresses = this->PeersForCall();
   if (addresses.empty()) {
     return false;
   }
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -70,6 +70,8 @@
   void Place();
   void OnPlacementRefused(const Refused& aRefused);
   DispatchCall MakeDispatchCall() const;
+  // The regions that the call may be sent to.
+  RegionSet AllowedRegions() const;
 
   // ---- one attempt at an endpoint
   // Whether the endpoint's rate limit permits the call. If not, the call is
@@ -113,6 +115,9 @@
   // Forwards the call to a random ready peer in place of refusing it with
   // aRefusal. False if it may not be forwarded or no peer is ready.
   bool TryForward(const Refusal& aRefusal);
+  // Addresses of peers that are ready, reach the service, and lie in a region
+  // that the call's body may be sent to.
+  std::vector<std::string> PeersForCall() const;
   // True if this host seems to reach no endpoint of the service.
   bool IsCutOff() const;
   // Forwards the call if IsCutOff and a peer is not. False: try it here.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -35,6 +35,7 @@
     if (!expired.empty()) {
       this->state.UpdateDispatcher();
     }
+    this->state.ExpireColdEndpoints();
     if (this->state.dispatcher.QueuedCalls() > 0) {
       this->state.SendQueuedCalls();
     }
@@ -64,6 +65,8 @@
     hostReport.quotaReports = this->state.quota.OwnReports(now);
     hostReport.quotaReports.merge(this->state.endpointQuota.OwnReports(now));
     hostReport.lostServices = this->state.reach.Lost();
+    hostReport.evacuations = this->state.evacuatedZones.Records();
+    hostReport.coldEndpoints = this->state.coldEndpoints.Reports(now);
     hostReport.leavingEndpoints = this->state.endpoints.Leaving();
     this->state.quarantine.Expire(WallMillis());
     hostReport.quarantine = this->state.quarantine.Report(WallMillis());
@@ -109,6 +112,12 @@
     metrics.Set("tanagerseam_endpoints_with_rate_limit",
                 {},
                 static_cast<double>(this->state.rateLimits.Count()));
+    metrics.Set("tanagerseam_zones_evacuated",
+                {},
+                static_cast<double>(this->state.evacuatedZones.Count()));
+    metrics.Set("tanagerseam_endpoints_cold",
+                {},
+                static_cast<double>(this->state.coldEndpoints.Count()));
     metrics.Set(
       "tanagerseam_calls_quarantined",
       {},
@@ -132,6 +141,16 @@
     this->state.endpointQuota.OnPeerReport(
       aReport.host, aReport.startTime, aReport.quotaReports, now);
     this->state.quarantine.OnPeerReport(aReport.quarantine);
+    for (const ZoneEvacuation& record : aReport.evacuations) {
+      if (this->state.evacuatedZones.OnPeerRecord(record)) {
+        this->state.OnEvacuationChanged(record.zone, record.evacuated, "peer");
+      }
+    }
+    for (const ColdReport& report : aReport.coldEndpoints) {
+      if (this->state.coldEndpoints.OnPeerReport(report, now)) {
+        this->state.OnRateLimitChanged(report.id, "peer");
+      }
+    }
     for (const LeavingEndpoint& announcement : aReport.leavingEndpoints) {
       this->state.MarkLeaving(announcement, "peer");
     }
@@ -213,6 +232,10 @@
                        now);
   }
   state.quota.RetainOrganisations(names);
+  for (const ServiceEntry& service : state.catalog->Services()) {
+    state.coldEndpoints.SetPolicy(
+      service.name, { service.coldTime, service.coldCallsPerSecond });
+  }
   state.UpdateDispatcher();
   LogInfo("catalog_applied",
           { { "version", std::to_string(state.catalog->Version()) } });
@@ -245,8 +268,12 @@
                        previous->version != aEndpoint.version ||
                        previous->service != aEndpoint.service;
   const bool wasUsable = state.endpoints.IsUsable(id);
-  if (state.rateLimits.OnEntry(aEndpoint)) {
-    state.OnRateLimitChanged(id, "new_incarnation");
+  const bool newLimit = state.rateLimits.OnEntry(aEndpoint);
+  const bool becameCold = state.coldEndpoints.OnEntry(
+    { id, aEndpoint.service, aEndpoint.startedAtMillis, aEndpoint.coldLeft },
+    BootNow());
+  if (newLimit || becameCold) {
+    state.OnRateLimitChanged(id, becameCold ? "cold" : "new_incarnation");
   }
   if (previous != nullptr) {
     state.versions.See(previous->service, previous->version, BootNow());
@@ -286,6 +313,24 @@
   state.UpdateDispatcher();
 }
 
+void
+Gateway::PutEvacuation(const ZoneEvacuation& aRecord)
+{
+  GatewayState& state = this->impl->state;
+  if (state.evacuatedZones.OnStoreRecord(aRecord)) {
+    state.OnEvacuationChanged(aRecord.zone, aRecord.evacuated, "store");
+  }
+}
+
+void
+Gateway::ConfirmEvacuations(int64_t aPosition)
+{
+  GatewayState& state = this->impl->state;
+  for (const std::string& zone : state.evacuatedZones.OnStoreRead(aPosition)) {
+    state.OnEvacuationChanged(zone, false, "store");
+  }
+}
+
 void
 Gateway::MarkCatalogUnavailable()
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -28,6 +28,10 @@
 //    client sees the end of its stream;
 //  - a resumed stream goes on at the software version that began it;
 //  - the budget tokens of a turn are reserved before it is sent;
+//  - an endpoint of an evacuated zone gets no call, and a cold endpoint no more
+//    from all hosts than its service says;
+//  - a call reaches no endpoint, and its body no peer, outside the regions that
+//    its route and its organisation both allow;
 //  - API keys are accepted only while the catalog was confirmed within
 //    `keyFreshness`.
 //
@@ -47,6 +51,7 @@
 #include "fleet/fleet.h"
 #include "program/program.h"
 #include "quota/quota.h"
+#include "zones/zones.h"
 
 namespace tanagerseam {
 
@@ -54,6 +59,8 @@
 {
   std::string host;
   std::string zone;
+  // The regions of all zones; empty where regions play no part.
+  ZoneRegions regions;
   // Address for calls from clients and peers, as IP:PORT.
   std::string callAddress;
   // Start of this process, in milliseconds since the epoch.
@@ -68,6 +75,8 @@
   QuotaSlack quotaSlack;
   // Tolerated use beyond the rate limits that endpoints name.
   QuotaSlack endpointRateSlack{ Millis(4000), 0.5, 5 };
+  // Tolerated use beyond the rate of cold endpoints.
+  QuotaSlack coldSlack{ Millis(1000), 0, 0 };
   // Memory of all responses that are being received: gathered bodies, outputs
   // of turns, and what waits to be sent.
   size_t maxResponseBytes = 16u << 20;
@@ -103,6 +112,10 @@
   void ConfirmCatalog(TimePoint aReadStartedAt);
   // Reading the configuration failed.
   void MarkCatalogUnavailable();
+  // A zone is to be evacuated, or no longer; see EvacuatedZones.
+  void PutEvacuation(const ZoneEvacuation& aRecord);
+  // All such records before this position have been passed on.
+  void ConfirmEvacuations(int64_t aPosition);
   void PutEndpoint(EndpointEntry aEndpoint);
   void RemoveEndpoint(const std::string& aId);
   // Reading the endpoint registry failed, or succeeded.
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -115,11 +115,13 @@
   }
   for (auto& entry : byService) {
     for (const EndpointEntry* endpoint : this->endpoints.Usable(entry.first)) {
-      entry.second.push_back({ endpoint->id,
-                               endpoint->zone,
-                               endpoint->slots,
-                               this->rateLimits.Find(endpoint->id),
-                               endpoint->version });
+      entry.second.push_back(
+        { endpoint->id,
+          endpoint->zone,
+          endpoint->slots,
+          this->CallsPerSecond(endpoint->id),
+          endpoint->version,
+          this->settings.regions.RegionOf(endpoint->zone) });
     }
     this->dispatcher.SetEndpoints(entry.first, entry.second);
   }
@@ -166,28 +168,104 @@
   }
 }
 
+std::optional<double>
+GatewayState::CallsPerSecond(const std::string& aEndpoint) const
+{
+  const auto stated = this->rateLimits.Find(aEndpoint);
+  const auto cold = this->coldEndpoints.Limit(aEndpoint, BootNow());
+  if (stated && cold) {
+    return std::min(*stated, *cold);
+  }
+  return stated ? stated : cold;
+}
+
 void
 GatewayState::OnRateLimitChanged(const std::string& aEndpoint,
                                  const char* aSource)
 {
-  const auto limit = this->rateLimits.Find(aEndpoint);
+  const auto limit = this->CallsPerSecond(aEndpoint);
+  const Millis coldLeft = this->coldEndpoints.ColdLeft(aEndpoint, BootNow());
   LogInfo(
     "endpoint_rate_limit",
     { { "endpoint", aEndpoint },
       { "calls_per_second", limit ? std::to_string(*limit) : "unlimited" },
+      { "cold_ms", std::to_string(coldLeft.count()) },
       { "source", aSource } });
   this->dispatcher.SetRateLimit(aEndpoint, limit);
   const double callsPerSecond =
     limit ? std::max(*limit, kMinCallsPerSecond) : 0;
+  // Where both limits hold, the stricter slack of a cold endpoint does, too.
+  const bool isCold =
+    this->coldEndpoints.Limit(aEndpoint, BootNow()).has_value();
+  const QuotaSlack& slack =
+    isCold ? this->settings.coldSlack : this->settings.endpointRateSlack;
   const bool startFull = false;
-  this->endpointQuota.SetCap(
-    RateQuotaName(aEndpoint), { callsPerSecond, 0 }, startFull, BootNow());
+  this->endpointQuota.SetCap(RateQuotaName(aEndpoint),
+                             { callsPerSecond, 0, isCold },
+                             slack,
+                             startFull,
+                             BootNow());
+}
+
+void
+GatewayState::OnEvacuationChanged(const std::string& aZone,
+                                  bool aEvacuated,
+                                  const char* aSource)
+{
+  LogInfo(aEvacuated ? "zone_evacuated" : "zone_evacuation_ended",
+          { { "zone", aZone }, { "source", aSource } });
+  const ZoneRegions& regions = this->settings.regions;
+  if (aEvacuated && !regions.IsKnown(aZone)) {
+    LogWarn("evacuated_zone_unknown", { { "zone", aZone } });
+  }
+  this->endpoints.SetZoneEvacuated(aZone, aEvacuated);
+  if (!aEvacuated && this->catalog) {
+    for (const ServiceEntry& service : this->catalog->Services()) {
+      for (const EndpointEntry* endpoint : this->endpoints.All(service.name)) {
+        const bool inZone = endpoint->zone == aZone;
+        if (inZone && this->coldEndpoints.AssumeCold(endpoint->id, BootNow())) {
+          this->OnRateLimitChanged(endpoint->id, "evacuation_ended");
+        }
+      }
+    }
+  }
+  this->UpdateDispatcher();
+}
+
+void
+GatewayState::ExpireColdEndpoints()
+{
+  for (const std::string& id : this->coldEndpoints.Expire(BootNow())) {
+    this->OnRateLimitChanged(id, "warm");
+  }
+}
+
+void
+GatewayState::OnColdLeft(const std::string& aEndpoint,
+                         std::optional<Millis> aLeft)
+{
+  const TimePoint now = BootNow();
+  this->coldEndpoints.OnResponse(aEndpoint, now);
+  if (aLeft && this->coldEndpoints.OnColdLeft(aEndpoint, *aLeft, now)) {
+    this->OnRateLimitChanged(aEndpoint, "response");
+  }
+}
+
+bool
+GatewayState::IsEvacuated(const std::string& aService) const
+{
+  const auto all = this->endpoints.All(aService);
+  return !all.empty() &&
+         std::all_of(all.begin(), all.end(), [this](const auto* aEndpoint) {
+           return this->endpoints.IsZoneEvacuated(aEndpoint->zone);
+         });
 }
 
 void
 GatewayState::ForgetRateLimit(const std::string& aEndpoint)
 {
   this->rateLimits.Forget(aEndpoint);
+  this->coldEndpoints.Forget(aEndpoint);
   this->endpointQuota.RemoveOrganisation(RateQuotaName(aEndpoint));
 }
 
@@ -195,7 +273,7 @@
 GatewayState::HoldEndpoint(const std::string& aEndpoint)
 {
   const double limit =
-    std::max(this->rateLimits.Find(aEndpoint).value_or(0), kMinCallsPerSecond);
+    std::max(this->CallsPerSecond(aEndpoint).value_or(0), kMinCallsPerSecond);
   // Drawn, so that hosts do not ask for the same call.
   std::uniform_real_distribution<double> factor(0.5, 1.5);
   const double holdMillis = std::clamp(
@@ -218,6 +296,9 @@
 {
   const size_t endpoints = this->endpoints.Usable(aService).size();
   const TimePoint now = BootNow();
+  if (this->coldEndpoints.OnUnreachable(aEndpoint, now)) {
+    this->OnRateLimitChanged(aEndpoint, "unreachable");
+  }
   if (!this->reach.OnUnreachable(aService, aEndpoint, endpoints, now)) {
     return;
   }
@@ -226,8 +307,7 @@
     { { "service", aService },
       { "last_endpoint", aEndpoint },
       { "endpoints", std::to_string(endpoints) },
-      { "peers",
-        std::to_string(this->peers.ReadyAddresses(aService, now).size()) } });
+      { "peers", std::to_string(this->peers.Ready(aService, now).size()) } });
 }
 
 std::optional<std::string>
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "coldstart/coldstart.h"
 #include "fleet/member_table.h"
 #include "gateway/connection_policy.h"
 #include "gateway/gateway.h"
@@ -44,8 +45,21 @@
   void OnRateLimit(const std::string& aEndpoint,
                    std::optional<double> aCallsPerSecond,
                    int64_t aSentAtMillis);
+  // The calls per second that an endpoint takes from all hosts, by what it says
+  // and because it is cold; unset for any.
+  std::optional<double> CallsPerSecond(const std::string& aEndpoint) const;
   // Puts a changed limit into force. aSource is for the log.
   void OnRateLimitChanged(const std::string& aEndpoint, const char* aSource);
+  // Puts records of evacuations into force. aSource is for the log.
+  void OnEvacuationChanged(const std::string& aZone,
+                           bool aEvacuated,
+                           const char* aSource);
+  // Lifts the limits of endpoints that are no longer cold.
+  void ExpireColdEndpoints();
+  // An endpoint has responded, or could not be reached.
+  void OnColdLeft(const std::string& aEndpoint, std::optional<Millis> aLeft);
+  // True if the service has endpoints, all of them in evacuated zones.
+  bool IsEvacuated(const std::string& aService) const;
   // Drops what is known of an endpoint that has left the registry.
   void ForgetRateLimit(const std::string& aEndpoint);
   // The endpoint's rate is used up: holds it for about the time of one call at
@@ -83,6 +97,8 @@
   TimePoint catalogConfirmedAt{};
   EndpointTable endpoints;
   EndpointRateLimits rateLimits;
+  ColdEndpoints coldEndpoints;
+  EvacuatedZones evacuatedZones;
   bool endpointsConfirmed = false;
   // The members were read at least once. Until then this host would take itself
   // for the whole fleet.
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -12,6 +12,12 @@
 
 namespace tanagerseam {
 
+struct ReadyPeer
+{
+  std::string host;
+  std::string callAddress;
+};
+
 class PeerTable
 {
 public:
@@ -25,14 +31,14 @@
     };
   }
 
-  // Call addresses of the peers whose unexpired report says that they are
-  // ready and reach the service. An empty service stands for any.
-  std::vector<std::string> ReadyAddresses(const std::string& aService,
-                                          TimePoint aNow) const
+  // The peers whose unexpired report says that they are ready and reach the
+  // service. An empty service stands for any.
+  std::vector<ReadyPeer> Ready(const std::string& aService,
+                               TimePoint aNow) const
   {
     const Millis lifetime =
       kReportLifetime * FleetLink::ReportPeriod(this->peers.size());
-    std::vector<std::string> addresses;
+    std::vector<ReadyPeer> ready;
     for (const auto& entry : this->peers) {
       const Peer& peer = entry.second;
       const bool current = aNow - peer.lastReportAt <= lifetime;
@@ -40,10 +46,10 @@
       const bool reaches =
         std::find(lost.begin(), lost.end(), aService) == lost.end();
       if (peer.ready && current && reaches && !peer.callAddress.empty()) {
-        addresses.push_back(peer.callAddress);
+        ready.push_back({ entry.first, peer.callAddress });
       }
     }
-    return addresses;
+    return ready;
   }
 
 private:
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -62,13 +62,16 @@
     settings.host = aName;
     settings.callAddress = "127.0.0.1:" + std::to_string(aPort);
     settings.zone = "zone-a";
+    settings.regions = ZoneRegions(
+      { { "zone-a", "north" }, { "zone-b", "north" }, { "zone-s", "south" } });
+    settings.coldSlack = { Millis(1000), 0.5, 5 };
     settings.startTime = 1;
     settings.freshStart = true;
     settings.maxResponseBytes = aMaxResponseBytes;
     return settings;
   }
 
-  void ApplyCatalog(int64_t aVersion = 1, const std::string& aKey = "key-1")
+  static CatalogContent MakeContent(int64_t aVersion, const std::string& aKey)
   {
     CatalogContent content;
     content.version = aVersion;
@@ -78,28 +81,42 @@
     content.routes[0].retainsHistory = true;
     content.services = { { "engines", 10 }, { "tools", 0 } };
     content.organisations = { { "club", { aKey }, {}, 1000, 1000 } };
-    this->gateway.SetCatalog(std::make_shared<const Catalog>(content));
+    return content;
+  }
+
+  void ApplyCatalog(int64_t aVersion = 1, const std::string& aKey = "key-1")
+  {
+    this->Apply(MakeContent(aVersion, aKey));
+  }
+
+  void Apply(const CatalogContent& aContent)
+  {
+    this->gateway.SetCatalog(std::make_shared<const Catalog>(aContent));
     this->gateway.ConfirmCatalog(BootNow());
     this->gateway.ConfirmMembers();
   }
 
   void AddEndpoint(const std::string& aId,
                    const std::string& aService,
-                   const std::string& aAddress)
+                   const std::string& aAddress,
+                   const std::string& aZone = "zone-a",
+                   Millis aColdLeft = Millis(0))
   {
     EndpointEntry entry;
     entry.id = aId;
     entry.service = aService;
     entry.address = aAddress;
-    entry.zone = "zone-a";
+    entry.zone = aZone;
+    entry.coldLeft = aColdLeft;
     entry.slots = 4;
     this->gateway.PutEndpoint(entry);
     this->gateway.ConfirmEndpoints();
   }
 
-  FleetMember Member(const std::string& aName) const
+  FleetMember Member(const std::string& aName,
+                     const std::string& aZone = "zone-a") const
   {
-    return { aName, "127.0.0.1", this->linkPort };
+    return { aName, "127.0.0.1", this->linkPort, aZone };
   }
 
   uint16_t port = FreePort();
--- a/kernel/result.cc
+++ b/kernel/result.cc
@@ -209,6 +209,12 @@
       never,
       "No endpoint of the version that began the stream is left; begin it "
       "anew." },
+    { R::kNoEndpointInRegion,
+      "no_endpoint_in_region",
+      503,
+      kNotRun,
+      never,
+      "No endpoint lies in a region that route and organisation both allow." },
     { R::kVersionConflict,
       "version_conflict",
       409,
--- a/kernel/result.h
+++ b/kernel/result.h
@@ -51,6 +51,7 @@
   kCallQuarantined,
   kStreamUnknown,
   kStreamVersionGone,
+  kNoEndpointInRegion,
   kVersionConflict,
   kInternalError,
 };
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -76,21 +76,21 @@
 }
 
 double
-FleetQuota::SlackCalls(const QuotaCap& aCap) const
+FleetQuota::SlackCalls(const QuotaCap& aCap, const QuotaSlack& aSlack)
 {
-  const double seconds =
-    std::chrono::duration<double>(this->slack.window).count();
+  const double seconds = std::chrono::duration<double>(aSlack.window).count();
   const double callsInWindow = aCap.ratePerSecond * seconds + aCap.burst;
-  return callsInWindow * this->slack.overage + this->slack.tolerance;
+  return callsInWindow * aSlack.overage + aSlack.tolerance;
 }
 
 void
 FleetQuota::SetCap(const std::string& aOrganisation,
                    QuotaCap aCap,
+                   const QuotaSlack& aSlack,
                    bool aStartFull,
                    TimePoint aNow)
 {
-  const double slackCalls = this->SlackCalls(aCap);
+  const double slackCalls = SlackCalls(aCap, aSlack);
   aCap.burst += kBurstSlackFraction * slackCalls;
   const uint64_t hash = OrganisationHash(aOrganisation);
   const bool isNew = this->organisations.count(hash) == 0;
@@ -99,7 +99,7 @@
   if (isNew) {
     state.refilledAt = aNow;
     state.demandAt = aNow;
-    state.localFrom = aStartFull ? aNow : aNow + this->slack.window;
+    state.localFrom = aStartFull ? aNow : aNow + aSlack.window;
     state.fleetBucket = aStartFull ? aCap.burst : 0;
     state.reservationBucket = state.fleetBucket;
   } else {
@@ -199,6 +199,17 @@
     });
 }
 
+bool
+FleetQuota::IsFirstOwner(uint64_t aHash, TimePoint aNow) const
+{
+  const uint64_t ownRank = RendezvousRank(aHash, this->ownHash);
+  return std::none_of(
+    this->members.begin(), this->members.end(), [&](const Member& aMember) {
+      return RendezvousRank(aHash, aMember.hash) > ownRank &&
+             this->IsReachable(aMember.host, aNow);
+    });
+}
+
 FleetQuota::OrganisationState*
 FleetQuota::Find(const std::string& aOrganisation)
 {
@@ -432,6 +443,10 @@
     return std::nullopt;
   }
   const bool limited = found->second.cap.ratePerSecond > 0;
+  if (limited && found->second.cap.strictOwner &&
+      !this->IsFirstOwner(aOrganisationHash, aNow)) {
+    return false;
+  }
   if (limited && !this->ChargeFleetBucket(found->second, aNow)) {
     return false;
   }
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -40,6 +40,12 @@
 // below one call, so hosts that begin to use it at once admit no more together
 // than the organisation's rate.
 //
+// Strict owner: a member that is asked in place of a silent owner can't tell
+// whether that owner is gone or grants calls on the other side of a partition.
+// It grants as its owner would; until the owner's reports time out, both sides
+// together may so use up to twice the rate. Where that is too much, it refuses
+// instead, and the cap is served again when the owner's reports have timed out.
+//
 // Bound: burst + rate x time + the local allowance of all hosts. The bucket
 // then becomes negative, and that debt is paid by later calls.
 //
@@ -84,6 +90,8 @@
   // Calls per second; 0 means no limit.
   double ratePerSecond = 0;
   double burst = 0;
+  // Only the member that ranks highest of those that report may grant calls.
+  bool strictOwner = false;
 };
 
 // In any window an organisation may use
@@ -178,6 +186,15 @@
   void SetCap(const std::string& aOrganisation,
               QuotaCap aCap,
               bool aStartFull,
+              TimePoint aNow)
+  {
+    this->SetCap(aOrganisation, aCap, this->slack, aStartFull, aNow);
+  }
+  // The same with a slack of its own.
+  void SetCap(const std::string& aOrganisation,
+              QuotaCap aCap,
+              const QuotaSlack& aSlack,
+              bool aStartFull,
               TimePoint aNow);
   void RemoveOrganisation(const std::string& aOrganisation)
   {
@@ -269,7 +286,7 @@
   };
 
   // The calls that an organisation may use in a window beyond its cap.
-  double SlackCalls(const QuotaCap& aCap) const;
+  static double SlackCalls(const QuotaCap& aCap, const QuotaSlack& aSlack);
   static double CallsPerProgram(const OrganisationState& aState);
   static void CountAdmitted(OrganisationState& aState);
   static void CountUsage(OrganisationState& aState,
@@ -298,6 +315,8 @@
                        uint64_t& aUnreportedGrants,
                        TimePoint aNow);
   QuotaDecision DecideFromShare(OrganisationState& aState, TimePoint aNow);
+  // True if no member that reports ranks higher, whether it answers or not.
+  bool IsFirstOwner(uint64_t aHash, TimePoint aNow) const;
   // True if this host would own the quota only because members that report did
   // not answer.
   bool IsSubstitute(uint64_t aHash, TimePoint aNow) const;
--- a/quota/testing/quota_test.cc
+++ b/quota/testing/quota_test.cc
@@ -292,6 +292,60 @@
                          EndpointRateTest,
                          ::testing::Values(10, 79, 295));
 
+// A cold endpoint crashes at a rate well above its own, and the bound holds in
+// any second. Demand is what a whole zone of endpoints meets that come back at
+// once: several times the rate.
+class ColdEndpointRateTest : public ::testing::TestWithParam<int>
+{
+protected:
+  static constexpr QuotaCap kColdRate{ 23, 0, true };
+  static constexpr int kColdAt = 2500;
+  static constexpr int kColdMillis = 3000;
+  static constexpr double kDemand = 100;
+
+  SimulatedFleet NewFleet()
+  {
+    const bool startFull = false;
+    SimulatedFleet fleet(GetParam(), {}, startFull, { Millis(1000), 0.5, 5 });
+    fleet.Run(0, kColdAt, 0);
+    fleet.SetCap(kColdRate, kColdAt);
+    return fleet;
+  }
+};
+
+TEST_P(ColdEndpointRateTest, IsKeptInAnySecondAndUsed)
+{
+  SimulatedFleet fleet = this->NewFleet();
+  fleet.Run(kColdAt, kColdAt + kColdMillis, kDemand);
+  EXPECT_LE(fleet.MaxCallsInWindow(), fleet.Bound());
+  EXPECT_GE(fleet.admittedAt.size(), 0.7 * 3 * kColdRate.ratePerSecond);
+}
+
+TEST_P(ColdEndpointRateTest, IsKeptWhileAThirdOfTheHostsIsCutOff)
+{
+  SimulatedFleet fleet = this->NewFleet();
+  for (int i = 0; i < GetParam() / 3; ++i) {
+    fleet.inMajority[i] = false;
+  }
+  fleet.Run(kColdAt, kColdAt + kColdMillis, kDemand);
+  EXPECT_LE(fleet.MaxCallsInWindow(), fleet.Bound());
+}
+
+TEST_P(ColdEndpointRateTest, IsKeptWhileHostsStart)
+{
+  SimulatedFleet fleet = this->NewFleet();
+  for (int i = 0; i < 10; ++i) {
+    const int64_t now = kColdAt + 300 * i;
+    fleet.Restart(i, now);
+    fleet.Run(now, now + 300, kDemand);
+  }
+  EXPECT_LE(fleet.MaxCallsInWindow(), fleet.Bound());
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts,
+                         ColdEndpointRateTest,
+                         ::testing::Values(11, 82, 400));
+
 // A host that restarted once charged the calls that a peer had admitted over
 // its whole life, when the peer first reported the organisation to it.
 TEST(FleetQuotaTest, RestartedHostIsNotChargedForEarlierCalls)
