--- a/call/call.h
+++ b/call/call.h
@@ -73,6 +73,9 @@
   int64_t promptTokens = 0;
   // Limit on generated tokens; 0 if the client sent none.
   int64_t maxOutputTokens = 0;
+  // The client's estimate of the tokens that will be generated; 0 if it sent
+  // none or an unusable one.
+  int64_t outputTokensHint = 0;
   std::vector<PromptPart> promptParts;
   // Equal for calls that concern the same object; empty if there is none.
   std::string affinityKey;
@@ -99,6 +102,9 @@
 {
   int running = 0;
   int waiting = 0;
+  // How long work takes there at this moment, relative to the usual time; unset
+  // if the endpoint does not say.
+  std::optional<double> pace;
 };
 
 // Status and headers of an endpoint's response.
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -102,6 +102,9 @@
   std::string name;
   // Tokens per stream event; 0 for services that do not stream tokens.
   int tokensPerEvent = 0;
+  // Tokens that the memory of one endpoint holds, of running calls and cached
+  // prompts; 0 if unknown.
+  int64_t cacheTokens = 0;
   // An endpoint that has just started is cold for this long, and takes so many
   // calls per second from all hosts together; 0 for no limit. Below 0 if the
   // configuration is invalid: what held before holds on.
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -141,6 +141,8 @@
     settings.keyFreshness = aSettings.keyFreshness;
     settings.quotaSlack = aSettings.quotaSlack;
     settings.coldSlack = aSettings.coldSlack;
+    settings.placement = aSettings.placement;
+    settings.contention = aSettings.contention;
     settings.regions = ZoneRegions(aSettings.regionByZone);
     settings.logPartitions = aSettings.storePartitions;
     return settings;
--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "platform/platform.h"
 #include "settings/settings.h"
 
 namespace tanagerseam {
@@ -14,6 +15,18 @@
 constexpr double kMaxOverage = 10;
 constexpr double kMaxToleranceCalls = 1000000;
 
+struct PlacementModeName
+{
+  PlacementMode mode;
+  std::string_view name;
+};
+
+constexpr PlacementModeName kPlacementModeNames[] = {
+  { PlacementMode::kAuto, "auto" },
+  { PlacementMode::kBasic, "basic" },
+  { PlacementMode::kAdaptive, "adaptive" },
+};
+
 std::string
 RequiredAddress(SectionReader& aReader, const std::string& aKey)
 {
@@ -44,6 +57,22 @@
   return Millis(std::llround(seconds * 1000));
 }
 
+PlacementMode
+ReadPlacement(SectionReader& aReader)
+{
+  std::vector<std::string> names;
+  for (const PlacementModeName& row : kPlacementModeNames) {
+    names.emplace_back(row.name);
+  }
+  const std::string name = aReader.Choice("placement", "auto", names);
+  for (const PlacementModeName& row : kPlacementModeNames) {
+    if (row.name == name) {
+      return row.mode;
+    }
+  }
+  return PlacementMode::kAuto;
+}
+
 // The bound on a cold endpoint's calls in one second is
 // rate x cold_overage + cold_tolerance.
 QuotaSlack
@@ -87,12 +116,17 @@
     ReadSeconds(aReader, "shutdown_limit_s", aSettings.shutdownLimit, 0.1);
   aSettings.quotaSlack = ReadQuotaSlack(aReader);
   aSettings.coldSlack = ReadColdSlack(aReader);
+  aSettings.placement = ReadPlacement(aReader);
+  aSettings.contention = aReader.Flag("contention", aSettings.contention);
 }
 
 void
 ReadPlatform(SectionReader& aReader, GatewayProcessSettings& aSettings)
 {
   aSettings.storeAddress = RequiredAddress(aReader, "store_address");
+  if (StatesContention(aReader.List("contracts"))) {
+    aSettings.contention = true;
+  }
   aSettings.storePartitions = static_cast<int>(aReader.Integer(
     "store_parts", aSettings.storePartitions, 1, kMaxStorePartitions));
 }
--- a/daemon/gateway_settings.h
+++ b/daemon/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "dispatch/dispatch.h"
 #include "kernel/kernel.h"
 #include "quota/quota.h"
 
@@ -30,6 +31,9 @@
   QuotaSlack quotaSlack;
   // Bound on the calls to a cold endpoint above its rate.
   QuotaSlack coldSlack{ Millis(1000), 0, 0 };
+  // See DispatchSettings.
+  PlacementMode placement = PlacementMode::kAuto;
+  bool contention = false;
   // The region of each zone; empty where regions play no part.
   std::map<std::string, std::string> regionByZone;
   // Time from SIGTERM until the platform kills the process.
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -53,6 +53,11 @@
 // utilisation is at or above the limit for the call's priority. Later calls of
 // a program are never refused for load.
 //
+// Adaptive placement: a service is served either in basic mode, which is what
+// is described so far, or adaptively; see docs/design/contention.md. By default
+// it is served adaptively under contention, or once one of its endpoints has
+// stated its pace.
+//
 // Ejection: an endpoint that cannot be reached gets no calls for a period that
 // doubles with each consecutive failure, up to a limit. If more than half of a
 // service's endpoints are ejected, ejection is ignored.
@@ -112,10 +117,21 @@
   std::string region;
 };
 
+// How calls are placed; the names are values of the setting `placement`.
+enum class PlacementMode
+{
+  // Adaptively under contention, and where endpoints state their pace.
+  kAuto,
+  kBasic,
+  kAdaptive,
+};
+
 // A call to be placed on an endpoint.
 struct DispatchCall
 {
   uint64_t id = 0;
+  // Empty on open routes.
+  std::string organisation;
   std::string service;
   // Latency is averaged over all calls with the same route.
   std::string route;
@@ -135,6 +151,9 @@
   std::string affinityKey;
   // 0 for services that do not generate tokens.
   int64_t maxOutputTokens = 0;
+  // The client's estimate of the tokens that will be generated; 0 if it sent
+  // none.
+  int64_t outputTokensHint = 0;
   std::set<std::string> excludedEndpoints;
   // Only endpoints of this software version may get the call; any, if unset.
   std::optional<std::string> version;
@@ -208,6 +227,9 @@
 {
   // Availability zone of this host.
   std::string zone;
+  PlacementMode placement = PlacementMode::kAuto;
+  // Demand exceeds the capacity of the endpoints at times.
+  bool contention = false;
   // Salts the hash that samples endpoints, so that hosts sample differently.
   std::string host;
   // Latency added by an endpoint in another availability zone.
@@ -264,9 +286,14 @@
                     EndpointLoads aLoads,
                     TimePoint aNow);
   // aCalls: running and queued calls, as reported by the endpoint itself.
+  // aPace: how long work takes there at this moment, relative to the usual
+  // time; unset if the endpoint does not say.
   void OnEndpointReport(const std::string& aEndpoint,
                         int aCalls,
-                        TimePoint aNow);
+                        TimePoint aNow,
+                        std::optional<double> aPace = std::nullopt);
+  // True if the service is served adaptively.
+  bool IsAdaptive(const std::string& aService) const;
   // The calls that this host has in flight, to be reported to other hosts.
   EndpointLoads OwnLoads() const;
   // Calls in flight divided by the capacity; 0 for a service without endpoints.
@@ -407,6 +434,8 @@
   std::deque<ReportArrival> arrivals;
   // Sums over `peers`.
   EndpointLoads peerLoads;
+  // Services of which an endpoint has stated its pace.
+  std::set<std::string> pacedServices;
   // Moving averages by route: time of a call, and time per streamed token.
   std::unordered_map<std::string, double> routeMillis;
   std::unordered_map<std::string, double> tokenMillis;
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -21,6 +21,10 @@
 
 struct OrganisationUse;
 
+struct EndpointWork;
+
+struct OrganisationWork;
+
 struct LeavingEndpoint;
 struct LeavingEndpointBuilder;
 struct LeavingEndpointT;
@@ -85,6 +89,14 @@
 struct StreamFoundBuilder;
 struct StreamFoundT;
 
+struct AppendRecord;
+struct AppendRecordBuilder;
+struct AppendRecordT;
+
+struct RecordAppended;
+struct RecordAppendedBuilder;
+struct RecordAppendedT;
+
 struct Datagram;
 struct DatagramBuilder;
 struct DatagramT;
@@ -100,11 +112,13 @@
   StreamBegan = 7,
   FindStream = 8,
   StreamFound = 9,
+  AppendRecord = 10,
+  RecordAppended = 11,
   MIN = NONE,
-  MAX = StreamFound
+  MAX = RecordAppended
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[12] {
   static const Body values[] = {
     Body::NONE,
     Body::LoadReport,
@@ -115,13 +129,15 @@
     Body::AcquireQuota,
     Body::StreamBegan,
     Body::FindStream,
-    Body::StreamFound
+    Body::StreamFound,
+    Body::AppendRecord,
+    Body::RecordAppended
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[13] = {
     "NONE",
     "LoadReport",
     "ReserveTokens",
@@ -132,13 +148,15 @@
     "StreamBegan",
     "FindStream",
     "StreamFound",
+    "AppendRecord",
+    "RecordAppended",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StreamFound)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RecordAppended)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -183,6 +201,14 @@
   static const Body enum_value = Body::StreamFound;
 };
 
+template<> struct BodyTraits<tanagerseam::fleetwire::AppendRecord> {
+  static const Body enum_value = Body::AppendRecord;
+};
+
+template<> struct BodyTraits<tanagerseam::fleetwire::RecordAppended> {
+  static const Body enum_value = Body::RecordAppended;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -223,6 +249,14 @@
   static const Body enum_value = Body::StreamFound;
 };
 
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::AppendRecordT> {
+  static const Body enum_value = Body::AppendRecord;
+};
+
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::RecordAppendedT> {
+  static const Body enum_value = Body::RecordAppended;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -325,6 +359,22 @@
     return type == Body::StreamFound ?
       reinterpret_cast<const tanagerseam::fleetwire::StreamFoundT *>(value) : nullptr;
   }
+  tanagerseam::fleetwire::AppendRecordT *AsAppendRecord() {
+    return type == Body::AppendRecord ?
+      reinterpret_cast<tanagerseam::fleetwire::AppendRecordT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::AppendRecordT *AsAppendRecord() const {
+    return type == Body::AppendRecord ?
+      reinterpret_cast<const tanagerseam::fleetwire::AppendRecordT *>(value) : nullptr;
+  }
+  tanagerseam::fleetwire::RecordAppendedT *AsRecordAppended() {
+    return type == Body::RecordAppended ?
+      reinterpret_cast<tanagerseam::fleetwire::RecordAppendedT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::RecordAppendedT *AsRecordAppended() const {
+    return type == Body::RecordAppended ?
+      reinterpret_cast<const tanagerseam::fleetwire::RecordAppendedT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -414,6 +464,67 @@
   using type = OrganisationUse;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) EndpointWork FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint32_t work_ms_;
+
+ public:
+  struct Traits;
+  EndpointWork()
+      : endpoint_(0),
+        work_ms_(0) {
+  }
+  EndpointWork(uint32_t _endpoint, uint32_t _work_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        work_ms_(flatbuffers::EndianScalar(_work_ms)) {
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t work_ms() const {
+    return flatbuffers::EndianScalar(work_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointWork, 8);
+
+struct EndpointWork::Traits {
+  using type = EndpointWork;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) OrganisationWork FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t organisation_;
+  uint32_t work_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  OrganisationWork()
+      : organisation_(0),
+        work_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  OrganisationWork(uint64_t _organisation, uint32_t _work_ms)
+      : organisation_(flatbuffers::EndianScalar(_organisation)),
+        work_ms_(flatbuffers::EndianScalar(_work_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+  uint32_t work_ms() const {
+    return flatbuffers::EndianScalar(work_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(OrganisationWork, 16);
+
+struct OrganisationWork::Traits {
+  using type = OrganisationWork;
+};
+
 struct LeavingEndpointT : public flatbuffers::NativeTable {
   typedef LeavingEndpoint TableType;
   std::string id{};
@@ -1103,6 +1214,8 @@
   std::vector<std::string> lost_services{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::ZoneEvacuationT>> evacuations{};
   std::vector<std::unique_ptr<tanagerseam::fleetwire::ColdEndpointT>> cold_endpoints{};
+  std::vector<tanagerseam::fleetwire::EndpointWork> work{};
+  std::vector<tanagerseam::fleetwire::OrganisationWork> organisation_work{};
   LoadReportT() = default;
   LoadReportT(const LoadReportT &o);
   LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1127,7 +1240,9 @@
     VT_DOWN_ENDPOINTS = 24,
     VT_LOST_SERVICES = 26,
     VT_EVACUATIONS = 28,
-    VT_COLD_ENDPOINTS = 30
+    VT_COLD_ENDPOINTS = 30,
+    VT_WORK = 32,
+    VT_ORGANISATION_WORK = 34
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1171,6 +1286,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> *cold_endpoints() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> *>(VT_COLD_ENDPOINTS);
   }
+  const flatbuffers::Vector<const tanagerseam::fleetwire::EndpointWork *> *work() const {
+    return GetPointer<const flatbuffers::Vector<const tanagerseam::fleetwire::EndpointWork *> *>(VT_WORK);
+  }
+  const flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationWork *> *organisation_work() const {
+    return GetPointer<const flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationWork *> *>(VT_ORGANISATION_WORK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1206,6 +1327,10 @@
            VerifyOffset(verifier, VT_COLD_ENDPOINTS) &&
            verifier.VerifyVector(cold_endpoints()) &&
            verifier.VerifyVectorOfTables(cold_endpoints()) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyVector(work()) &&
+           VerifyOffset(verifier, VT_ORGANISATION_WORK) &&
+           verifier.VerifyVector(organisation_work()) &&
            verifier.EndTable();
   }
   LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1259,6 +1384,12 @@
   void add_cold_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>>> cold_endpoints) {
     fbb_.AddOffset(LoadReport::VT_COLD_ENDPOINTS, cold_endpoints);
   }
+  void add_work(flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::EndpointWork *>> work) {
+    fbb_.AddOffset(LoadReport::VT_WORK, work);
+  }
+  void add_organisation_work(flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationWork *>> organisation_work) {
+    fbb_.AddOffset(LoadReport::VT_ORGANISATION_WORK, organisation_work);
+  }
   explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1285,9 +1416,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>>> down_endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost_services = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>>> evacuations = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>>> cold_endpoints = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>>> cold_endpoints = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::EndpointWork *>> work = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const tanagerseam::fleetwire::OrganisationWork *>> organisation_work = 0) {
   LoadReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
+  builder_.add_organisation_work(organisation_work);
+  builder_.add_work(work);
   builder_.add_cold_endpoints(cold_endpoints);
   builder_.add_evacuations(evacuations);
   builder_.add_lost_services(lost_services);
@@ -1324,7 +1459,9 @@
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::DownEndpoint>> *down_endpoints = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *lost_services = nullptr,
     const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>> *evacuations = nullptr,
-    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> *cold_endpoints = nullptr) {
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> *cold_endpoints = nullptr,
+    const std::vector<tanagerseam::fleetwire::EndpointWork> *work = nullptr,
+    const std::vector<tanagerseam::fleetwire::OrganisationWork> *organisation_work = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::EndpointCalls>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::OrganisationUse>(*organisations) : 0;
   auto call_address__ = call_address ? _fbb.CreateString(call_address) : 0;
@@ -1336,6 +1473,8 @@
   auto lost_services__ = lost_services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lost_services) : 0;
   auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>>(*evacuations) : 0;
   auto cold_endpoints__ = cold_endpoints ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>>(*cold_endpoints) : 0;
+  auto work__ = work ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::EndpointWork>(*work) : 0;
+  auto organisation_work__ = organisation_work ? _fbb.CreateVectorOfStructs<tanagerseam::fleetwire::OrganisationWork>(*organisation_work) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       sequence,
@@ -1351,7 +1490,9 @@
       down_endpoints__,
       lost_services__,
       evacuations__,
-      cold_endpoints__);
+      cold_endpoints__,
+      work__,
+      organisation_work__);
 }
 
 flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2052,6 +2193,195 @@
 
 flatbuffers::Offset<StreamFound> CreateStreamFound(flatbuffers::FlatBufferBuilder &_fbb, const StreamFoundT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AppendRecordT : public flatbuffers::NativeTable {
+  typedef AppendRecord TableType;
+  uint64_t request = 0;
+  std::string topic{};
+  int32_t part = 0;
+  std::vector<uint8_t> record{};
+};
+
+struct AppendRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AppendRecordT NativeTableType;
+  typedef AppendRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_TOPIC = 6,
+    VT_PART = 8,
+    VT_RECORD = 10
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *topic() const {
+    return GetPointer<const flatbuffers::String *>(VT_TOPIC);
+  }
+  int32_t part() const {
+    return GetField<int32_t>(VT_PART, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *record() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_RECORD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_TOPIC) &&
+           verifier.VerifyString(topic()) &&
+           VerifyField<int32_t>(verifier, VT_PART, 4) &&
+           VerifyOffset(verifier, VT_RECORD) &&
+           verifier.VerifyVector(record()) &&
+           verifier.EndTable();
+  }
+  AppendRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AppendRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AppendRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AppendRecordBuilder {
+  typedef AppendRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(AppendRecord::VT_REQUEST, request, 0);
+  }
+  void add_topic(flatbuffers::Offset<flatbuffers::String> topic) {
+    fbb_.AddOffset(AppendRecord::VT_TOPIC, topic);
+  }
+  void add_part(int32_t part) {
+    fbb_.AddElement<int32_t>(AppendRecord::VT_PART, part, 0);
+  }
+  void add_record(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record) {
+    fbb_.AddOffset(AppendRecord::VT_RECORD, record);
+  }
+  explicit AppendRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AppendRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AppendRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AppendRecord> CreateAppendRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> topic = 0,
+    int32_t part = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record = 0) {
+  AppendRecordBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_record(record);
+  builder_.add_part(part);
+  builder_.add_topic(topic);
+  return builder_.Finish();
+}
+
+struct AppendRecord::Traits {
+  using type = AppendRecord;
+  static auto constexpr Create = CreateAppendRecord;
+};
+
+inline flatbuffers::Offset<AppendRecord> CreateAppendRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *topic = nullptr,
+    int32_t part = 0,
+    const std::vector<uint8_t> *record = nullptr) {
+  auto topic__ = topic ? _fbb.CreateString(topic) : 0;
+  auto record__ = record ? _fbb.CreateVector<uint8_t>(*record) : 0;
+  return tanagerseam::fleetwire::CreateAppendRecord(
+      _fbb,
+      request,
+      topic__,
+      part,
+      record__);
+}
+
+flatbuffers::Offset<AppendRecord> CreateAppendRecord(flatbuffers::FlatBufferBuilder &_fbb, const AppendRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RecordAppendedT : public flatbuffers::NativeTable {
+  typedef RecordAppended TableType;
+  uint64_t request = 0;
+  int64_t offset = 0;
+  uint8_t verdict = 0;
+};
+
+struct RecordAppended FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RecordAppendedT NativeTableType;
+  typedef RecordAppendedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_OFFSET = 6,
+    VT_VERDICT = 8
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  int64_t offset() const {
+    return GetField<int64_t>(VT_OFFSET, 0);
+  }
+  uint8_t verdict() const {
+    return GetField<uint8_t>(VT_VERDICT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<int64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           verifier.EndTable();
+  }
+  RecordAppendedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RecordAppendedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RecordAppended> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordAppendedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RecordAppendedBuilder {
+  typedef RecordAppended Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(RecordAppended::VT_REQUEST, request, 0);
+  }
+  void add_offset(int64_t offset) {
+    fbb_.AddElement<int64_t>(RecordAppended::VT_OFFSET, offset, 0);
+  }
+  void add_verdict(uint8_t verdict) {
+    fbb_.AddElement<uint8_t>(RecordAppended::VT_VERDICT, verdict, 0);
+  }
+  explicit RecordAppendedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RecordAppended> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RecordAppended>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RecordAppended> CreateRecordAppended(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    int64_t offset = 0,
+    uint8_t verdict = 0) {
+  RecordAppendedBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_request(request);
+  builder_.add_verdict(verdict);
+  return builder_.Finish();
+}
+
+struct RecordAppended::Traits {
+  using type = RecordAppended;
+  static auto constexpr Create = CreateRecordAppended;
+};
+
+flatbuffers::Offset<RecordAppended> CreateRecordAppended(flatbuffers::FlatBufferBuilder &_fbb, const RecordAppendedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct DatagramT : public flatbuffers::NativeTable {
   typedef Datagram TableType;
   std::string host{};
@@ -2109,6 +2439,12 @@
   const tanagerseam::fleetwire::StreamFound *body_as_StreamFound() const {
     return body_type() == tanagerseam::fleetwire::Body::StreamFound ? static_cast<const tanagerseam::fleetwire::StreamFound *>(body()) : nullptr;
   }
+  const tanagerseam::fleetwire::AppendRecord *body_as_AppendRecord() const {
+    return body_type() == tanagerseam::fleetwire::Body::AppendRecord ? static_cast<const tanagerseam::fleetwire::AppendRecord *>(body()) : nullptr;
+  }
+  const tanagerseam::fleetwire::RecordAppended *body_as_RecordAppended() const {
+    return body_type() == tanagerseam::fleetwire::Body::RecordAppended ? static_cast<const tanagerseam::fleetwire::RecordAppended *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -2160,6 +2496,14 @@
   return body_as_StreamFound();
 }
 
+template<> inline const tanagerseam::fleetwire::AppendRecord *Datagram::body_as<tanagerseam::fleetwire::AppendRecord>() const {
+  return body_as_AppendRecord();
+}
+
+template<> inline const tanagerseam::fleetwire::RecordAppended *Datagram::body_as<tanagerseam::fleetwire::RecordAppended>() const {
+  return body_as_RecordAppended();
+}
+
 struct DatagramBuilder {
   typedef Datagram Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2457,7 +2801,9 @@
         store_lost(o.store_lost),
         ready(o.ready),
         call_address(o.call_address),
-        lost_services(o.lost_services) {
+        lost_services(o.lost_services),
+        work(o.work),
+        organisation_work(o.organisation_work) {
   leaving.reserve(o.leaving.size());
   for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new tanagerseam::fleetwire::LeavingEndpointT(*leaving_) : nullptr); }
   rate_limits.reserve(o.rate_limits.size());
@@ -2489,6 +2835,8 @@
   std::swap(lost_services, o.lost_services);
   std::swap(evacuations, o.evacuations);
   std::swap(cold_endpoints, o.cold_endpoints);
+  std::swap(work, o.work);
+  std::swap(organisation_work, o.organisation_work);
   return *this;
 }
 
@@ -2515,6 +2863,8 @@
   { auto _e = lost_services(); if (_e) { _o->lost_services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lost_services[_i] = _e->Get(_i)->str(); } } }
   { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<tanagerseam::fleetwire::ZoneEvacuationT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = cold_endpoints(); if (_e) { _o->cold_endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cold_endpoints[_i] = std::unique_ptr<tanagerseam::fleetwire::ColdEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
+  { auto _e = organisation_work(); if (_e) { _o->organisation_work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisation_work[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2539,6 +2889,8 @@
   auto _lost_services = _o->lost_services.size() ? _fbb.CreateVectorOfStrings(_o->lost_services) : 0;
   auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ZoneEvacuation>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneEvacuation(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _cold_endpoints = _o->cold_endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::ColdEndpoint>> (_o->cold_endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateColdEndpoint(*__va->__fbb, __va->__o->cold_endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
+  auto _organisation_work = _o->organisation_work.size() ? _fbb.CreateVectorOfStructs(_o->organisation_work) : 0;
   return tanagerseam::fleetwire::CreateLoadReport(
       _fbb,
       _sequence,
@@ -2554,7 +2906,9 @@
       _down_endpoints,
       _lost_services,
       _evacuations,
-      _cold_endpoints);
+      _cold_endpoints,
+      _work,
+      _organisation_work);
 }
 
 inline ReserveTokensT *ReserveTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2813,6 +3167,73 @@
       _version);
 }
 
+inline AppendRecordT *AppendRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AppendRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AppendRecord::UnPackTo(AppendRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = topic(); if (_e) _o->topic = _e->str(); }
+  { auto _e = part(); _o->part = _e; }
+  { auto _e = record(); if (_e) { _o->record.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->record.begin()); } }
+}
+
+inline flatbuffers::Offset<AppendRecord> AppendRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAppendRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AppendRecord> CreateAppendRecord(flatbuffers::FlatBufferBuilder &_fbb, const AppendRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AppendRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _topic = _o->topic.empty() ? 0 : _fbb.CreateString(_o->topic);
+  auto _part = _o->part;
+  auto _record = _o->record.size() ? _fbb.CreateVector(_o->record) : 0;
+  return tanagerseam::fleetwire::CreateAppendRecord(
+      _fbb,
+      _request,
+      _topic,
+      _part,
+      _record);
+}
+
+inline RecordAppendedT *RecordAppended::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RecordAppendedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RecordAppended::UnPackTo(RecordAppendedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = verdict(); _o->verdict = _e; }
+}
+
+inline flatbuffers::Offset<RecordAppended> RecordAppended::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordAppendedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRecordAppended(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RecordAppended> CreateRecordAppended(flatbuffers::FlatBufferBuilder &_fbb, const RecordAppendedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RecordAppendedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _offset = _o->offset;
+  auto _verdict = _o->verdict;
+  return tanagerseam::fleetwire::CreateRecordAppended(
+      _fbb,
+      _request,
+      _offset,
+      _verdict);
+}
+
 inline DatagramT *Datagram::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<DatagramT>();
   UnPackTo(_o.get(), _resolver);
@@ -2889,6 +3310,14 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamFound *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::AppendRecord: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AppendRecord *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::RecordAppended: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::RecordAppended *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2944,6 +3373,14 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamFound *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::AppendRecord: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AppendRecord *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::RecordAppended: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::RecordAppended *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2987,6 +3424,14 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamFoundT *>(value);
       return CreateStreamFound(_fbb, ptr, _rehasher).Union();
     }
+    case Body::AppendRecord: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::AppendRecordT *>(value);
+      return CreateAppendRecord(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::RecordAppended: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::RecordAppendedT *>(value);
+      return CreateRecordAppended(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3029,6 +3474,14 @@
       value = new tanagerseam::fleetwire::StreamFoundT(*reinterpret_cast<tanagerseam::fleetwire::StreamFoundT *>(u.value));
       break;
     }
+    case Body::AppendRecord: {
+      value = new tanagerseam::fleetwire::AppendRecordT(*reinterpret_cast<tanagerseam::fleetwire::AppendRecordT *>(u.value));
+      break;
+    }
+    case Body::RecordAppended: {
+      value = new tanagerseam::fleetwire::RecordAppendedT(*reinterpret_cast<tanagerseam::fleetwire::RecordAppendedT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3081,6 +3534,16 @@
       delete ptr;
       break;
     }
+    case Body::AppendRecord: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::AppendRecordT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::RecordAppended: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::RecordAppendedT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -388,6 +388,7 @@
 {
   DispatchCall dispatchCall;
   dispatchCall.id = this->dispatchId;
+  dispatchCall.organisation = this->OrganisationName();
   dispatchCall.service = this->service;
   dispatchCall.route = this->route->name;
   dispatchCall.priority = this->priority;
@@ -404,6 +405,7 @@
   dispatchCall.affinityKey = this->call.affinityKey;
   dispatchCall.maxOutputTokens =
     this->route->kind == CallKind::kStream ? this->call.maxOutputTokens : 0;
+  dispatchCall.outputTokensHint = this->call.outputTokensHint;
   dispatchCall.excludedEndpoints = this->call.excludedEndpoints;
   dispatchCall.excludedEndpoints.insert(this->triedEndpoints.begin(),
                                         this->triedEndpoints.end());
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -139,8 +139,11 @@
                                                         this->endpointId);
   }
   if (aHead.load) {
-    this->state.dispatcher.OnEndpointReport(
-      this->endpointId, aHead.load->running + aHead.load->waiting, BootNow());
+    this->state.dispatcher.OnEndpointReport(this->endpointId,
+                                            aHead.load->running +
+                                              aHead.load->waiting,
+                                            BootNow(),
+                                            aHead.load->pace);
   }
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -75,6 +75,9 @@
   QuotaSlack quotaSlack;
   // Tolerated use beyond the rate limits that endpoints name.
   QuotaSlack endpointRateSlack{ Millis(4000), 0.5, 5 };
+  // See DispatchSettings.
+  PlacementMode placement = PlacementMode::kAuto;
+  bool contention = false;
   // Tolerated use beyond the rate of cold endpoints.
   QuotaSlack coldSlack{ Millis(1000), 0, 0 };
   // Memory of all responses that are being received: gathered bodies, outputs
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -26,6 +26,8 @@
   DispatchSettings settings;
   settings.zone = aSettings.zone;
   settings.host = aSettings.host;
+  settings.placement = aSettings.placement;
+  settings.contention = aSettings.contention;
   return settings;
 }
 
