--- /dev/null
+++ b/resumption/version_history.cc
@@ -0,0 +1,51 @@
+#include "resumption/resumption.h"
+
+#include <algorithm>
+
+namespace tanagerseam {
+
+void
+VersionHistory::See(const std::string& aService,
+                    const std::string& aVersion,
+                    TimePoint aNow)
+{
+  TimePoint& seenAt = this->lastSeen[aService][aVersion];
+  seenAt = std::max(seenAt, aNow);
+}
+
+void
+VersionHistory::Confirm(TimePoint aNow)
+{
+  this->confirmedAt = aNow;
+  if (this->watchedSince == TimePoint{}) {
+    this->watchedSince = aNow;
+  }
+}
+
+std::optional<std::string>
+VersionHistory::SoleVersion(const std::string& aService,
+                            TimePoint aSince,
+                            TimePoint aNow) const
+{
+  const bool watched =
+    this->watchedSince != TimePoint{} && this->watchedSince <= aSince;
+  const bool current = this->confirmedAt != TimePoint{} &&
+                       aNow - this->confirmedAt <= kMaxConfirmationAge;
+  const auto versions = this->lastSeen.find(aService);
+  if (!watched || !current || versions == this->lastSeen.end()) {
+    return std::nullopt;
+  }
+  std::optional<std::string> sole;
+  for (const auto& [version, seenAt] : versions->second) {
+    if (seenAt < aSince) {
+      continue;
+    }
+    if (sole) {
+      return std::nullopt;
+    }
+    sole = version;
+  }
+  return sole;
+}
+
+} // namespace tanagerseam
