Resumed streams: a host infers a version only after watching for 600 s

Cause: two timeouts after its start, a host took the version that it had seen alone for the only one that can have begun a stream. A host that starts after a version's entries left the registry can't know that version, after a loss of all hosts no peer knows its streams, and clients set their own number of attempts and pauses, so they outlast two timeouts.

Change: InferStreamOrigin asks VersionHistory::HasWatchedSince for as long as a stream may be resumed (StreamOrigins::kStreamMemory, 600 s). A fleet that starts for the first time (fresh_start) has no earlier streams, so its hosts may infer at once, as before.

Ruled out: a placement at another version by a stale entry. In the test the engines write their version, and it is the one of the entry.

--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -174,8 +174,15 @@
   if (this->route->targets.size() > 1) {
     return;
   }
+  const TimePoint now = BootNow();
+  // Clients set their own number of attempts and pauses, so what this host has
+  // not watched is unknown for as long as any stream may be resumed.
+  if (!this->state.versions.HasWatchedSince(now - StreamOrigins::kStreamMemory,
+                                            now)) {
+    return;
+  }
   const TimePoint earliestBegin =
-    BootNow() - kAttemptsOfAStream * this->route->timeout;
+    now - kAttemptsOfAStream * this->route->timeout;
   if (const auto version =
         this->state.SoleVersion(this->service, earliestBegin)) {
     this->origin = StreamOrigin{ this->service, *version };
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -75,6 +75,9 @@
   , history(this->persistentLog, MakeProgramSettings(this->settings))
   , random(std::random_device{}())
 {
+  if (this->settings.freshStart) {
+    this->versions.OnNewFleet();
+  }
 }
 
 Millis
--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -24,10 +24,14 @@
 //   VersionHistory versions;
 //   versions.See("engines", "v1.2", now);     // also when it leaves
 //   versions.Confirm(now);                    // the registry was read
+//   versions.HasWatchedSince(now - StreamOrigins::kStreamMemory, now);
 //   versions.SoleVersion("engines", now - longestStream, now);
 //
-// A host can't say so before it has read the registry for that long, nor if it
-// has not read it lately.
+// A host can't say so before it has read the registry for as long as clients
+// may come back, nor if it has not read it lately: what left the registry
+// before it started is unknown to it, and after a loss of all hosts no other
+// one knows it. A host of a fleet that starts for the first time (OnNewFleet)
+// can, since no stream began before.
 //
 // Bounds: kMaxStreams origins for kStreamMemory each; the oldest is forgotten
 // first. Deterministic: the time is an argument.
@@ -110,6 +114,12 @@
   void Confirm(TimePoint aNow);
   // The registry could not be read.
   void MarkUnavailable() { this->confirmedAt = TimePoint{}; }
+  // The fleet starts for the first time, so no stream began before this host
+  // started.
+  void OnNewFleet() { this->isNewFleet = true; }
+  // True if this host knows all versions since aSince that can have begun a
+  // stream.
+  bool HasWatchedSince(TimePoint aSince, TimePoint aNow) const;
   // The only version that an endpoint of the service has had since aSince;
   // unset if there were several, none, or if this host can't be certain.
   std::optional<std::string> SoleVersion(const std::string& aService,
@@ -122,6 +132,7 @@
   // First and last time at which the registry was read.
   TimePoint watchedSince{};
   TimePoint confirmedAt{};
+  bool isNewFleet = false;
 };
 
 } // namespace tanagerseam
--- a/resumption/version_history.cc
+++ b/resumption/version_history.cc
@@ -22,17 +22,22 @@
   }
 }
 
+bool
+VersionHistory::HasWatchedSince(TimePoint aSince, TimePoint aNow) const
+{
+  const bool current = this->confirmedAt != TimePoint{} &&
+                       aNow - this->confirmedAt <= kMaxConfirmationAge;
+  return current && (this->isNewFleet || this->watchedSince <= aSince);
+}
+
 std::optional<std::string>
 VersionHistory::SoleVersion(const std::string& aService,
                             TimePoint aSince,
                             TimePoint aNow) const
 {
-  const bool watched =
-    this->watchedSince != TimePoint{} && this->watchedSince <= aSince;
-  const bool current = this->confirmedAt != TimePoint{} &&
-                       aNow - this->confirmedAt <= kMaxConfirmationAge;
   const auto versions = this->lastSeen.find(aService);
-  if (!watched || !current || versions == this->lastSeen.end()) {
+  if (!this->HasWatchedSince(aSince, aNow) ||
+      versions == this->lastSeen.end()) {
     return std::nullopt;
   }
   std::optional<std::string> sole;
--- a/tests/integration/gateway_stream_version_test.cc
+++ b/tests/integration/gateway_stream_version_test.cc
@@ -3,6 +3,7 @@
 #include "tests/support/gateway_fleet.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace tanagerseam {
@@ -51,6 +52,22 @@
   std::set<std::string> versions;
 };
 
+// A stream that broke off, and the version that began it.
+struct BegunStream
+{
+  std::string id;
+  std::string version;
+};
+
+// How resumptions ended.
+struct ResumptionCounts
+{
+  int refused = 0;
+  int continued = 0;
+  // Answered by another version than the one that began the stream.
+  int mixed = 0;
+};
+
 class GatewayStreamVersions : public GatewayFleet
 {
 protected:
@@ -150,6 +167,74 @@
     return id;
   }
 
+  void RemoveEngines(const std::string& aVersion)
+  {
+    for (const auto& engine : this->engines) {
+      if (engine.first.substr(engine.first.rfind('-') + 1) == aVersion) {
+        this->store.PutKeyed("keyed.servers", engine.first, "");
+      }
+    }
+  }
+
+  void KillAll()
+  {
+    for (auto& host : this->hosts) {
+      host->process->Kill();
+    }
+  }
+
+  void StartAll()
+  {
+    for (auto& host : this->hosts) {
+      host->Start();
+    }
+    ASSERT_TRUE(this->Until([this] { return this->AllReady(); }));
+  }
+
+  // Begins aCount streams of each version, which break off.
+  std::vector<BegunStream> BeginStreamsOfBothVersions(int aCount)
+  {
+    std::vector<BegunStream> streams;
+    std::map<std::string, int> counts;
+    for (size_t i = 0; i < 200; ++i) {
+      BegunStream stream;
+      stream.id = this->BeginStream(i % kHosts, stream.version);
+      if (counts[stream.version]++ < aCount) {
+        streams.push_back(stream);
+      }
+      if (counts["v1"] >= aCount && counts["v1.1"] >= aCount) {
+        return streams;
+      }
+    }
+    ADD_FAILURE() << "the streams began at one version only";
+    return streams;
+  }
+
+  // Resumes each stream twice, the second time without its name. It may be
+  // refused, but not continued at another version.
+  ResumptionCounts ResumeAll(const std::vector<BegunStream>& aStreams)
+  {
+    ResumptionCounts counts;
+    size_t host = 0;
+    for (const BegunStream& stream : aStreams) {
+      for (const bool named : { true, false }) {
+        const std::string headers =
+          (named ? "Resumes: " + stream.id + "\r\n" : "") +
+          "Last-Event-Id: " + std::to_string(kLastEventBeforeBreak) + "\r\n";
+        const Received received =
+          this->Follow(host++ % kHosts, this->NextRequestId(), headers);
+        if (received.status == 503) {
+          ++counts.refused;
+        } else if (received.versions == std::set{ stream.version }) {
+          ++counts.continued;
+        } else {
+          ++counts.mixed;
+        }
+      }
+    }
+    return counts;
+  }
+
   void ExpectContinuedAt(const Received& aReceived, const std::string& aVersion)
   {
     EXPECT_EQ(aReceived.status, 200);
@@ -264,5 +349,78 @@
   }
 }
 
+// Guards against streams that go on at another version because all hosts were
+// killed: a host that starts after the entries of a version have left the
+// registry can't know that it served, while its clients may still come back.
+TEST_F(GatewayStreamVersions, AreNotJoinedAfterAllHostsWereKilled)
+{
+  constexpr int kOfEachVersion = 5;
+  const auto streams = this->BeginStreamsOfBothVersions(kOfEachVersion);
+  const auto expectNoneMixed = [&] {
+    const ResumptionCounts counts = this->ResumeAll(streams);
+    EXPECT_EQ(counts.mixed, 0);
+    std::cout << "refused " << counts.refused << ", continued "
+              << counts.continued << ", mixed " << counts.mixed << "\n";
+  };
+  const Millis clientsOutlast = 2 * kRouteTimeout + Millis(1000);
+  {
+    SCOPED_TRACE("both versions serve");
+    this->KillAll();
+    this->StartAll();
+    expectNoneMixed();
+    this->RunFor(clientsOutlast);
+    expectNoneMixed();
+  }
+  {
+    SCOPED_TRACE("one version has left while no host was alive");
+    this->KillAll();
+    this->RemoveEngines("v1");
+    this->StartAll();
+    expectNoneMixed();
+    this->RunFor(clientsOutlast);
+    expectNoneMixed();
+  }
+  {
+    SCOPED_TRACE("new streams begin, and go on by name");
+    std::string version;
+    const std::string id = this->BeginStream(0, version);
+    EXPECT_EQ(version, "v1.1");
+    this->ExpectContinuedAt(this->TakeUp(1, id), version);
+  }
+}
+
+// As above, with entries that leave just before the hosts are killed, and while
+// they start.
+TEST_F(GatewayStreamVersions, AreNotJoinedIfAVersionLeavesAroundTheKill)
+{
+  constexpr int kOfEachVersion = 5;
+  const Millis clientsOutlast = 2 * kRouteTimeout + Millis(1000);
+  const auto streams = this->BeginStreamsOfBothVersions(kOfEachVersion);
+  {
+    SCOPED_TRACE("just before");
+    this->RemoveEngines("v1");
+    this->RunFor(Millis(100));
+    this->KillAll();
+    this->StartAll();
+    this->RunFor(clientsOutlast);
+    EXPECT_EQ(this->ResumeAll(streams).mixed, 0);
+  }
+  {
+    SCOPED_TRACE("while they start");
+    for (const auto& engine : this->engines) {
+      this->RegisterEngine(engine.first, "ready");
+    }
+    this->KillAll();
+    this->hosts[0]->Start();
+    ASSERT_TRUE(this->Until([this] { return this->Ready(0); }));
+    this->RemoveEngines("v1");
+    this->hosts[1]->Start();
+    this->hosts[2]->Start();
+    ASSERT_TRUE(this->Until([this] { return this->AllReady(); }));
+    this->RunFor(clientsOutlast);
+    EXPECT_EQ(this->ResumeAll(streams).mixed, 0);
+  }
+}
+
 } // namespace
 } // namespace tanagerseam
