--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -7,6 +7,7 @@
 #include <restinio/asio_include.hpp>
 #include <sstream>
 
+#include "daemon/member_entry.h"
 #include "fleet/member_table.h"
 #include "gateway/gateway.h"
 #include "http/event_client.h"
@@ -36,26 +37,6 @@
 constexpr Millis kShutdownPollInterval(50);
 constexpr int kIdlePollsBeforeExit = 3;
 
-struct HostPort
-{
-  std::string ip;
-  uint16_t port = 0;
-};
-
-HostPort
-SplitAddress(const std::string& aAddress)
-{
-  HostPort parts;
-  const size_t colon = aAddress.rfind(':');
-  parts.ip = aAddress.substr(0, colon);
-  int port = 0;
-  if (colon != std::string::npos &&
-      absl::SimpleAtoi(aAddress.substr(colon + 1), &port)) {
-    parts.port = static_cast<uint16_t>(port);
-  }
-  return parts;
-}
-
 std::string
 ReadFile(const std::string& aPath)
 {
@@ -76,24 +57,6 @@
   return answer;
 }
 
-std::optional<FleetMember>
-ParseMember(const std::string& aHost, const std::string& aText)
-{
-  const bool allowExceptions = false;
-  const auto fields = nlohmann::json::parse(aText, nullptr, allowExceptions);
-  if (!fields.is_object() || !fields.contains("address") ||
-      !fields["address"].is_string()) {
-    LogWarn("member_entry_unreadable", { { "member", aHost } });
-    return std::nullopt;
-  }
-  const HostPort address = SplitAddress(fields["address"].get<std::string>());
-  const auto zone = fields.find("zone");
-  const bool hasZone = zone != fields.end() && zone->is_string();
-  return FleetMember{
-    aHost, address.ip, address.port, hasZone ? zone->get<std::string>() : ""
-  };
-}
-
 } // namespace
 
 struct GatewayProcess::Impl
@@ -283,14 +246,11 @@
 
   void Announce()
   {
-    const nlohmann::json fields = { { "address",
-                                      this->settings.exchangeAddress },
-                                    { "zone", this->settings.zone },
-                                    { "started", this->started } };
     this->store.PutKeyed(
       kMembersTopic,
       this->settings.host,
-      fields.dump(),
+      MemberEntryText(
+        { this->settings.exchangeAddress, this->settings.zone, this->started }),
       kAnnounceTimeout,
       [this](const AppendResult& aResult) {
         const auto* error = std::get_if<LogFault>(&aResult);
--- /dev/null
+++ b/daemon/member_entry.cc
@@ -0,0 +1,50 @@
+#include "daemon/member_entry.h"
+
+#include <absl/strings/numbers.h>
+
+#include <nlohmann/json.hpp>
+
+namespace tanagerseam {
+
+HostPort
+SplitAddress(const std::string& aAddress)
+{
+  HostPort parts;
+  const size_t colon = aAddress.rfind(':');
+  parts.ip = aAddress.substr(0, colon);
+  int port = 0;
+  if (colon != std::string::npos &&
+      absl::SimpleAtoi(aAddress.substr(colon + 1), &port)) {
+    parts.port = static_cast<uint16_t>(port);
+  }
+  return parts;
+}
+
+std::string
+MemberEntryText(const MemberEntry& aEntry)
+{
+  const nlohmann::json fields = { { "address", aEntry.address },
+                                  { "zone", aEntry.zone },
+                                  { "started", aEntry.startTime } };
+  return fields.dump();
+}
+
+std::optional<FleetMember>
+ParseMember(const std::string& aHost, const std::string& aText)
+{
+  const bool allowExceptions = false;
+  const auto fields = nlohmann::json::parse(aText, nullptr, allowExceptions);
+  if (!fields.is_object() || !fields.contains("address") ||
+      !fields["address"].is_string()) {
+    LogWarn("member_entry_unreadable", { { "member", aHost } });
+    return std::nullopt;
+  }
+  const HostPort address = SplitAddress(fields["address"].get<std::string>());
+  const auto zone = fields.find("zone");
+  const bool hasZone = zone != fields.end() && zone->is_string();
+  return FleetMember{
+    aHost, address.ip, address.port, hasZone ? zone->get<std::string>() : ""
+  };
+}
+
+} // namespace tanagerseam
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -28,6 +28,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -133,6 +134,18 @@
   std::optional<StreamOrigin> origin;
 };
 
+// Why a message of a peer has no effect.
+enum class SkippedMessage
+{
+  // Not a message of this protocol, or one without its content.
+  kUnreadable,
+  // Of a type that this build does not know; sent by a newer build.
+  kUnknownType,
+};
+
+std::string_view
+NameOf(SkippedMessage aReason);
+
 // Handlers for the messages of peers.
 struct FleetHandlers
 {
@@ -153,6 +166,8 @@
   std::function<void(uint64_t aStream, const StreamOrigin&)> onStreamBegan;
   // Where the stream began; null if this host does not know it.
   std::function<const StreamOrigin*(uint64_t aStream)> onFindStream;
+  // A message was skipped. Optional.
+  std::function<void(SkippedMessage)> onMessageSkipped;
 };
 
 struct FleetLinkSettings
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -19,8 +19,30 @@
 constexpr Millis kIncarnationTimeout(700);
 constexpr size_t kMaxDatagram = 60u << 10;
 
+struct SkippedMessageName
+{
+  SkippedMessage reason;
+  std::string_view name;
+};
+
+constexpr SkippedMessageName kSkippedMessages[] = {
+  { SkippedMessage::kUnreadable, "unreadable" },
+  { SkippedMessage::kUnknownType, "unknown_type" },
+};
+
 } // namespace
 
+std::string_view
+NameOf(SkippedMessage aReason)
+{
+  for (const SkippedMessageName& row : kSkippedMessages) {
+    if (row.reason == aReason) {
+      return row.name;
+    }
+  }
+  return "unknown";
+}
+
 struct FleetLink::Impl
 {
   // Null: no response in time.
@@ -160,12 +182,19 @@
     const auto* bytes = reinterpret_cast<const uint8_t*>(this->buffer.data());
     flatbuffers::Verifier verifier(bytes, aLength);
     if (!fleetwire::VerifyDatagramBuffer(verifier)) {
-      LogWarn("peer_message_unreadable",
-              { { "from", this->sender.address().to_string() } });
+      this->Skip(SkippedMessage::kUnreadable,
+                 this->sender.address().to_string());
       return;
     }
     fleetwire::DatagramT datagram;
     fleetwire::GetDatagram(bytes)->UnPackTo(&datagram);
+    const bool knownType = datagram.body.type <= fleetwire::Body::MAX;
+    // The verifier accepts a type without its table.
+    if (knownType && datagram.body.value == nullptr) {
+      this->Skip(SkippedMessage::kUnreadable,
+                 this->sender.address().to_string());
+      return;
+    }
     switch (datagram.body.type) {
       case fleetwire::Body::LoadReport:
         this->HandleReport(datagram);
@@ -195,7 +224,17 @@
         this->Complete(datagram.body.AsStreamFound()->request, &datagram);
         break;
       default:
-        LogWarn("peer_message_unknown", { { "from", datagram.host } });
+        this->Skip(SkippedMessage::kUnknownType, datagram.host);
+    }
+  }
+
+  void Skip(SkippedMessage aReason, const std::string& aSender)
+  {
+    LogWarn(aReason == SkippedMessage::kUnknownType ? "peer_message_unknown"
+                                                    : "peer_message_unreadable",
+            { { "from", aSender } });
+    if (this->handlers.onMessageSkipped) {
+      this->handlers.onMessageSkipped(aReason);
     }
   }
 
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -208,6 +208,11 @@
   handlers.onFindStream = [self](uint64_t aStream) {
     return self->state.streamOrigins.FindForPeer(aStream);
   };
+  handlers.onMessageSkipped = [self](SkippedMessage aReason) {
+    self->state.dependencies.metrics.Count(
+      "tanagerseam_peer_messages_skipped_total",
+      { { "reason", std::string(NameOf(aReason)) } });
+  };
   this->impl->state.dependencies.link.SetHandlers(std::move(handlers));
   this->impl->Tick();
   this->impl->PublishReport();
