Resumed streams: no version is inferred while a former one can have begun them

Cause: a version that was not seen for two timeouts of the route counted as one whose streams are over. A client that names no attempt may come back later: it chooses its retries and deadline, and the timeout may have been lowered since.

Change: hosts announce under OriginKey that streams begin at a version, to the hosts that rank highest for that key, at most every 10 s for each version and again when the members change. A host infers a version only if no host that it asks knows of streams at another version of the last 600 s; a peer that does not answer is a refusal with Retry-After. Messages are those of named streams, so hosts of older builds keep and answer them. Streams of routes that are not resumable are not announced: a former version there is a refusal.

Ruled out: 600 s without any other version, whether or not streams began there (the existing test of a version without streams is served after two timeouts).

--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -169,45 +169,71 @@
 }
 
 void
-CallFlow::InferStreamOrigin()
+CallFlow::InferStreamOrigin(StreamLookupResult aLookup)
 {
-  if (this->route->targets.size() > 1) {
-    return;
-  }
   const TimePoint now = BootNow();
+  const TimePoint earliestResumable = now - StreamOrigins::kStreamMemory;
+  const TimePoint earliestBegin =
+    now - kAttemptsOfAStream * this->route->timeout;
   // Clients set their own number of attempts and pauses, so what this host has
   // not watched is unknown for as long as any stream may be resumed.
-  if (!this->state.versions.HasWatchedSince(now - StreamOrigins::kStreamMemory,
-                                            now)) {
+  if (this->route->targets.size() > 1 ||
+      !this->state.versions.HasWatchedSince(earliestResumable, now)) {
+    this->ContinueAtOrigin(aLookup);
     return;
   }
-  const TimePoint earliestBegin =
-    now - kAttemptsOfAStream * this->route->timeout;
-  if (const auto version =
-        this->state.SoleVersion(this->service, earliestBegin)) {
-    this->origin = StreamOrigin{ this->service, *version };
+  const auto sole = this->state.SoleVersion(this->service, earliestBegin);
+  std::vector<std::string> former =
+    this->state.versions.VersionsSince(this->service, earliestResumable);
+  former.erase(std::remove(former.begin(), former.end(), sole.value_or("")),
+               former.end());
+  // Streams of other routes are not announced.
+  if (!sole || (!former.empty() && !this->route->resumable)) {
+    this->ContinueAtOrigin(aLookup);
+    return;
   }
+  this->state.streamOrigins.FindBegun(
+    this->service,
+    former,
+    [self = this->shared_from_this(), aLookup, version = *sole](
+      StreamLookupResult aBegun) {
+      if (self->ended) {
+        return;
+      }
+      if (aBegun == StreamLookupResult::kUnknown) {
+        self->origin = StreamOrigin{ self->service, version };
+      }
+      const bool noAnswer = aBegun == StreamLookupResult::kNoAnswer;
+      self->ContinueAtOrigin(noAnswer ? aBegun : aLookup);
+    });
 }
 
 void
 CallFlow::OnStreamOrigin(const StreamLookup& aLookup)
 {
   this->origin = aLookup.origin;
-  if (!this->origin) {
-    this->InferStreamOrigin();
+  if (this->origin) {
+    this->ContinueAtOrigin(aLookup.result);
+  } else {
+    this->InferStreamOrigin(aLookup.result);
   }
+}
+
+void
+CallFlow::ContinueAtOrigin(StreamLookupResult aLookup)
+{
   if (!this->origin) {
     // A host that did not answer may know the stream.
-    const bool mayFindLater = aLookup.result == StreamLookupResult::kNoAnswer;
+    const bool mayFindLater = aLookup == StreamLookupResult::kNoAnswer;
     this->RefuseWithRetryAfter(RefusalReason::kStreamUnknown,
-                               "origin " + std::string(NameOf(aLookup.result)),
+                               "origin " + std::string(NameOf(aLookup)),
                                mayFindLater
                                  ? std::optional<Millis>(this->DrawRetryAfter())
                                  : std::nullopt);
     return;
   }
   LogInfo("stream_resumed",
-          this->WithCallIds({ { "origin", std::string(NameOf(aLookup.result)) },
+          this->WithCallIds({ { "origin", std::string(NameOf(aLookup)) },
                               { "service", this->origin->service },
                               { "version", this->origin->version } }));
   const auto& targets = this->route->targets;
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -52,7 +52,9 @@
   void OnStreamOrigin(const StreamLookup& aLookup);
   // No host knows the stream: sets its origin if only one version can have
   // begun it.
-  void InferStreamOrigin();
+  void InferStreamOrigin(StreamLookupResult aLookup);
+  // Goes on with the call at its origin; refuses it if that is unknown.
+  void ContinueAtOrigin(StreamLookupResult aLookup);
   // Takes one call out of the organisation's rate quota, then places the call.
   void AcquireQuota();
   void OnQuotaDecision(bool aAdmitted);
--- a/gateway/stream_origin_client.h
+++ b/gateway/stream_origin_client.h
@@ -5,10 +5,12 @@
 //   client.SetMembers({ "host-1", "host-2" });
 //   client.Announce(stream, { "engines", "v1.2" });
 //   client.Find(stream, [](const StreamLookup& aLookup) { ... });
+//   client.FindBegun("engines", { "v1.1" }, [](StreamLookupResult) { ... });
 #ifndef TANAGERSEAM_GATEWAY_STREAM_ORIGIN_CLIENT_H_
 #define TANAGERSEAM_GATEWAY_STREAM_ORIGIN_CLIENT_H_
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,6 +50,9 @@
   // Several times the round trip to another availability zone.
   static constexpr Millis kPeerTimeout{ 50 };
 
+  // That streams begin at a version is announced this often while they do.
+  static constexpr Millis kOriginInterval{ 10000 };
+
   using Callback = std::function<void(const StreamLookup&)>;
 
   StreamOriginClient(std::string aOwnHost, FleetLink& aLink, Metrics& aMetrics);
@@ -57,6 +62,12 @@
   void Announce(uint64_t aStream, const StreamOrigin& aOrigin);
   // Calls aDone once, possibly before it returns.
   void Find(uint64_t aStream, Callback aDone);
+  // Whether streams began at one of these versions lately: kUnknown if no host
+  // that was asked knows of one, kNoAnswer if some did not answer. Calls aDone
+  // once, possibly before it returns.
+  void FindBegun(const std::string& aService,
+                 std::vector<std::string> aVersions,
+                 std::function<void(StreamLookupResult)> aDone);
   // A stream began at a peer.
   void OnAnnounced(uint64_t aStream, const StreamOrigin& aOrigin);
   // Null if this host does not know the stream.
@@ -64,7 +75,19 @@
 
 private:
   struct Pending;
+  struct AnnouncedOrigin
+  {
+    StreamOrigin origin;
+    TimePoint at{};
+  };
 
+  // Announces that streams begin at this origin.
+  void AnnounceOrigin(const StreamOrigin& aOrigin, TimePoint aNow);
+  void ForgetAnnouncedOrigins(TimePoint aNow);
+  void TellKeepers(uint64_t aKey, const StreamOrigin& aOrigin);
+  void Put(uint64_t aKey, const StreamOrigin& aOrigin);
+  // As Find, without a metric.
+  void LookUp(uint64_t aKey, Callback aDone);
   void Ask(const std::string& aHost,
            uint64_t aStream,
            const std::shared_ptr<Pending>& aPending);
@@ -79,6 +102,10 @@
   // Without this host.
   std::vector<std::string> peers;
   StreamOrigins origins;
+  // By OriginKey; apart, since many streams would displace them.
+  StreamOrigins begunOrigins;
+  // When this host last announced them.
+  std::map<uint64_t, AnnouncedOrigin> announcedOrigins;
 };
 
 } // namespace tanagerseam
--- /dev/null
+++ b/gateway/testing/gateway_resumption_test.cc
@@ -0,0 +1,129 @@
+// Streams that a client resumes without their name, through a host that infers
+// which version began them.
+#include "gateway/testing/gateway_fixture.h"
+
+namespace tanagerseam {
+namespace {
+
+using namespace testing_support;
+
+constexpr Millis kTimeout(50);
+
+class GatewayResumptionTest : public GatewayTest
+{
+protected:
+  void SetUp() override { this->Configure(1, "engines", kTimeout); }
+
+  // The configuration has one route for streams that are resumable.
+  void Configure(int64_t aVersion, const std::string& aService, Millis aTimeout)
+  {
+    CatalogContent content = GatewayHost::MakeContent(aVersion, "key-1");
+    RouteEntry follow = MakeRoute("/follow/", CallKind::kStream, 1);
+    follow.resumable = true;
+    follow.timeout = aTimeout;
+    follow.targets = { { aService, 1 } };
+    content.routes.push_back(follow);
+    content.services.push_back({ "writers", 10 });
+    this->host.Apply(content);
+  }
+
+  void PutEngine(const std::string& aVersion,
+                 const std::string& aService = "engines",
+                 bool aDraining = false)
+  {
+    EndpointEntry entry;
+    entry.id = "e-" + aVersion;
+    entry.service = aService;
+    entry.address = this->engine.Address();
+    entry.zone = "zone-a";
+    entry.version = aVersion;
+    entry.slots = 4;
+    entry.draining = aDraining;
+    this->host.gateway.PutEndpoint(entry);
+    this->host.gateway.ConfirmEndpoints();
+  }
+
+  void RemoveEngine(const std::string& aVersion)
+  {
+    // One that did not drain would be kept for a time.
+    this->PutEngine(aVersion, "engines", true);
+    this->host.gateway.RemoveEndpoint("e-" + aVersion);
+    this->host.gateway.ConfirmEndpoints();
+  }
+
+  int Follow(const std::string& aHeaders = "")
+  {
+    const std::string id = "f-" + std::to_string(this->nextId++);
+    return StatusOf(this->SendAndReceive(
+      this->host, this->Request("POST", "/follow/1", id, "input", aHeaders)));
+  }
+
+  int Resume() { return this->Follow("Last-Event-Id: 1\r\n"); }
+
+  void WaitTwoTimeouts()
+  {
+    this->RunFor(2 * kTimeout + Millis(50));
+    this->host.gateway.ConfirmEndpoints();
+  }
+
+  RawEndpoint engine{ io, [](const std::string& aRequest) {
+                       return PresetResponse{ MakeStreamHead(aRequest) +
+                                              Chunk("id: 1\ndata: one\n\n") +
+                                              "0\r\n\r\n" };
+                     } };
+  int nextId = 0;
+};
+
+// Guards against a client that comes back later than two timeouts of the route
+// after the version that began its stream has left.
+TEST_F(GatewayResumptionTest, RefusesWhileAFormerVersionCanHaveBegunTheStream)
+{
+  this->PutEngine("v1");
+  EXPECT_EQ(this->Follow(), 200);
+  EXPECT_EQ(this->Resume(), 200);
+  this->PutEngine("v2");
+  this->RemoveEngine("v1");
+  this->WaitTwoTimeouts();
+  EXPECT_EQ(this->Resume(), 503);
+}
+
+TEST_F(GatewayResumptionTest, ServesIfNoStreamBeganAtAFormerVersion)
+{
+  this->PutEngine("v1");
+  this->PutEngine("v2");
+  this->RemoveEngine("v1");
+  EXPECT_EQ(this->Resume(), 503);
+  this->WaitTwoTimeouts();
+  EXPECT_EQ(this->Resume(), 200);
+}
+
+// The stream began at a peer, which tells this host of the version alone.
+TEST_F(GatewayResumptionTest, RefusesIfAPeerBeganStreamsAtAFormerVersion)
+{
+  this->PutEngine("v1");
+  this->PutEngine("v2");
+  this->RemoveEngine("v1");
+  this->WaitTwoTimeouts();
+  GatewayHost peer(this->io, this->log, "host-2");
+  FleetHandlers handlers;
+  bool asked = false;
+  const StreamOrigin former{ "engines", "v1" };
+  handlers.onReport = [](const HostReport&) {};
+  handlers.onAcquireQuota = [](const std::string&, uint64_t) {
+    return QuotaAnswer::kGranted;
+  };
+  handlers.onFindStream = [&](uint64_t aKey) {
+    asked = true;
+    return aKey == OriginKey(former) ? &former : nullptr;
+  };
+  peer.link.SetHandlers(std::move(handlers));
+  this->host.gateway.PutMember(peer.Member("host-2"), false);
+  peer.gateway.PutMember(this->host.Member("host-1"), false);
+  this->ExchangeReports();
+  this->host.gateway.ConfirmEndpoints();
+  EXPECT_EQ(this->Resume(), 503);
+  EXPECT_TRUE(asked);
+}
+
+} // namespace
+} // namespace tanagerseam
--- a/resumption/resumption.cc
+++ b/resumption/resumption.cc
@@ -12,6 +12,13 @@
   return StableHash(aOrganisation + "/" + aRequestId);
 }
 
+uint64_t
+OriginKey(const StreamOrigin& aOrigin)
+{
+  // Request ids contain no line feed, so no stream has this key.
+  return StreamKey(aOrigin.service, "\n" + aOrigin.version);
+}
+
 std::vector<std::string>
 StreamKeepers(uint64_t aStream,
               const std::vector<std::string>& aHosts,
--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -26,6 +26,11 @@
 //   versions.Confirm(now);                    // the registry was read
 //   versions.HasWatchedSince(now - StreamOrigins::kStreamMemory, now);
 //   versions.SoleVersion("engines", now - longestStream, now);
+//   versions.VersionsSince("engines", now - StreamOrigins::kStreamMemory);
+//
+// A client may outlast longestStream, so no other version of the last
+// kStreamMemory may have begun a stream. Hosts announce, under its OriginKey,
+// that streams begin at a version, in the same way as they announce a stream.
 //
 // A host can't say so before it has read the registry for as long as clients
 // may come back, nor if it has not read it lately: what left the registry
@@ -73,6 +78,10 @@
               const std::vector<std::string>& aHosts,
               size_t aCount);
 
+// Identifies the fact that streams began at this origin within kStreamMemory.
+uint64_t
+OriginKey(const StreamOrigin& aOrigin);
+
 class StreamOrigins
 {
 public:
@@ -80,7 +89,7 @@
   static constexpr Millis kStreamMemory{ 600000 };
   static constexpr size_t kMaxStreams = 16384;
 
-  // A known stream keeps its origin.
+  // A known stream keeps its origin and is remembered from now on.
   void Put(uint64_t aStream, StreamOrigin aOrigin, TimePoint aNow);
   // Null if the stream is not known.
   const StreamOrigin* Find(uint64_t aStream, TimePoint aNow);
@@ -95,8 +104,14 @@
 
   void Forget(TimePoint aNow);
 
-  std::unordered_map<uint64_t, StreamOrigin> origins;
-  // Oldest first.
+  struct Entry
+  {
+    StreamOrigin origin;
+    TimePoint putAt{};
+  };
+
+  std::unordered_map<uint64_t, Entry> origins;
+  // Oldest first. An arrival is outdated if its stream was put again later.
   std::deque<Arrival> arrivals;
 };
 
@@ -120,6 +135,9 @@
   // True if this host knows all versions since aSince that can have begun a
   // stream.
   bool HasWatchedSince(TimePoint aSince, TimePoint aNow) const;
+  // The versions that an endpoint of the service has had since aSince.
+  std::vector<std::string> VersionsSince(const std::string& aService,
+                                         TimePoint aSince) const;
   // The only version that an endpoint of the service has had since aSince;
   // unset if there were several, none, or if this host can't be certain.
   std::optional<std::string> SoleVersion(const std::string& aService,
--- a/resumption/stream_origins.cc
+++ b/resumption/stream_origins.cc
@@ -5,9 +5,12 @@
 void
 StreamOrigins::Put(uint64_t aStream, StreamOrigin aOrigin, TimePoint aNow)
 {
-  if (!this->origins.emplace(aStream, std::move(aOrigin)).second) {
+  const auto put = this->origins.emplace(aStream, Entry{ std::move(aOrigin) });
+  Entry& entry = put.first->second;
+  if (entry.putAt == aNow) {
     return;
   }
+  entry.putAt = aNow;
   this->arrivals.push_back({ aNow, aStream });
   this->Forget(aNow);
 }
@@ -17,7 +20,7 @@
 {
   this->Forget(aNow);
   auto found = this->origins.find(aStream);
-  return found == this->origins.end() ? nullptr : &found->second;
+  return found == this->origins.end() ? nullptr : &found->second.origin;
 }
 
 void
@@ -26,7 +29,11 @@
   while (!this->arrivals.empty() &&
          (this->arrivals.size() > kMaxStreams ||
           aNow - this->arrivals.front().at > kStreamMemory)) {
-    this->origins.erase(this->arrivals.front().stream);
+    const Arrival& oldest = this->arrivals.front();
+    const auto found = this->origins.find(oldest.stream);
+    if (found != this->origins.end() && found->second.putAt == oldest.at) {
+      this->origins.erase(found);
+    }
     this->arrivals.pop_front();
   }
 }
--- a/resumption/version_history.cc
+++ b/resumption/version_history.cc
@@ -30,6 +30,23 @@
   return current && (this->isNewFleet || this->watchedSince <= aSince);
 }
 
+std::vector<std::string>
+VersionHistory::VersionsSince(const std::string& aService,
+                              TimePoint aSince) const
+{
+  std::vector<std::string> versions;
+  const auto found = this->lastSeen.find(aService);
+  if (found == this->lastSeen.end()) {
+    return versions;
+  }
+  for (const auto& [version, seenAt] : found->second) {
+    if (seenAt >= aSince) {
+      versions.push_back(version);
+    }
+  }
+  return versions;
+}
+
 std::optional<std::string>
 VersionHistory::SoleVersion(const std::string& aService,
                             TimePoint aSince,
