VersionHistory: watching begins anew after a gap of 10 s

Cause: a host that was suspended, or could not read the registry, claimed to have watched it the whole time. A reading gives the newest record of each key, so a version that came and went in between is unknown to it.

Change: a gap of more than kMaxGap between two readings starts the watch anew, also in a fleet that started for the first time.

VersionHistoryTest.WatchesAnewAfterAGap failed before; the library's tests pass.

--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -120,6 +120,10 @@
 public:
   // The registry must have been read this recently.
   static constexpr Millis kMaxConfirmationAge{ 2500 };
+  // After a longer time without a reading, such as a suspension of the host,
+  // watching begins anew: a reading gives the newest record of each key only,
+  // so an entry that came and went in between is not seen.
+  static constexpr Millis kMaxGap{ 10000 };
 
   // An endpoint of the service has this version, or had it until now.
   void See(const std::string& aService,
@@ -147,8 +151,10 @@
 private:
   // When each version was last seen, by service.
   std::map<std::string, std::map<std::string, TimePoint>> lastSeen;
-  // First and last time at which the registry was read.
+  // Since when the registry has been read without a gap.
   TimePoint watchedSince{};
+  TimePoint lastReadAt{};
+  // The same as lastReadAt; unset while the registry can't be read.
   TimePoint confirmedAt{};
   bool isNewFleet = false;
 };
--- a/resumption/testing/resumption_test.cc
+++ b/resumption/testing/resumption_test.cc
@@ -109,6 +109,26 @@
   }
 }
 
+// Guards against a version that came and went while the host was suspended or
+// could not read the registry, and whose streams another host began.
+TEST(VersionHistoryTest, WatchesAnewAfterAGap)
+{
+  const Millis longest(8000);
+  const TimePoint start = BootNow();
+  VersionHistory versions;
+  versions.OnNewFleet();
+  versions.See("engines", "v1", start);
+  versions.Confirm(start);
+  EXPECT_EQ(versions.SoleVersion("engines", start - longest, start), "v1");
+  const TimePoint resumed = start + Millis(60000);
+  versions.See("engines", "v1", resumed);
+  versions.Confirm(resumed);
+  EXPECT_FALSE(versions.SoleVersion("engines", resumed - longest, resumed));
+  const TimePoint later = resumed + longest;
+  versions.Confirm(later);
+  EXPECT_EQ(versions.SoleVersion("engines", later - longest, later), "v1");
+}
+
 // Pattern: many streams break off because their hosts die, and are taken up at
 // the hosts that are left.
 class StreamKeepersTest : public ::testing::TestWithParam<size_t>
--- a/resumption/version_history.cc
+++ b/resumption/version_history.cc
@@ -16,10 +16,16 @@
 void
 VersionHistory::Confirm(TimePoint aNow)
 {
-  this->confirmedAt = aNow;
-  if (this->watchedSince == TimePoint{}) {
+  const bool isFirst = this->watchedSince == TimePoint{};
+  const bool hasGap = !isFirst && aNow - this->lastReadAt > kMaxGap;
+  if (isFirst || hasGap) {
     this->watchedSince = aNow;
   }
+  if (hasGap) {
+    this->isNewFleet = false;
+  }
+  this->lastReadAt = aNow;
+  this->confirmedAt = aNow;
 }
 
 bool
