--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -26,6 +26,11 @@
 //   versions.Confirm(now);                    // the registry was read
 //   versions.HasWatchedSince(now - StreamOrigins::kStreamMemory, now);
 //   versions.SoleVersion("engines", now - longestStream, now);
+//   versions.VersionsSince("engines", now - StreamOrigins::kStreamMemory);
+//
+// A client may outlast longestStream, so no other version of the last
+// kStreamMemory may have begun a stream. Hosts announce, under its OriginKey,
+// that streams begin at a version, in the same way as they announce a stream.
 //
 // A host can't say so before it has read the registry for as long as clients
 // may come back, nor if it has not read it lately: what left the registry
@@ -73,6 +78,10 @@
               const std::vector<std::string>& aHosts,
               size_t aCount);
 
+// Identifies the fact that streams began at this origin within kStreamMemory.
+uint64_t
+OriginKey(const StreamOrigin& aOrigin);
+
 class StreamOrigins
 {
 public:
@@ -80,7 +89,7 @@
   static constexpr Millis kStreamMemory{ 600000 };
   static constexpr size_t kMaxStreams = 16384;
 
-  // A known stream keeps its origin.
+  // A known stream keeps its origin and is remembered from now on.
   void Put(uint64_t aStream, StreamOrigin aOrigin, TimePoint aNow);
   // Null if the stream is not known.
   const StreamOrigin* Find(uint64_t aStream, TimePoint aNow);
@@ -95,8 +104,14 @@
 
   void Forget(TimePoint aNow);
 
-  std::unordered_map<uint64_t, StreamOrigin> origins;
-  // Oldest first.
+  struct Entry
+  {
+    StreamOrigin origin;
+    TimePoint putAt{};
+  };
+
+  std::unordered_map<uint64_t, Entry> origins;
+  // Oldest first. An arrival is outdated if its stream was put again later.
   std::deque<Arrival> arrivals;
 };
 
@@ -105,6 +120,10 @@
 public:
   // The registry must have been read this recently.
   static constexpr Millis kMaxConfirmationAge{ 2500 };
+  // After a longer time without a reading, such as a suspension of the host,
+  // watching begins anew: a reading gives the newest record of each key only,
+  // so an entry that came and went in between is not seen.
+  static constexpr Millis kMaxGap{ 10000 };
 
   // An endpoint of the service has this version, or had it until now.
   void See(const std::string& aService,
@@ -120,6 +139,9 @@
   // True if this host knows all versions since aSince that can have begun a
   // stream.
   bool HasWatchedSince(TimePoint aSince, TimePoint aNow) const;
+  // The versions that an endpoint of the service has had since aSince.
+  std::vector<std::string> VersionsSince(const std::string& aService,
+                                         TimePoint aSince) const;
   // The only version that an endpoint of the service has had since aSince;
   // unset if there were several, none, or if this host can't be certain.
   std::optional<std::string> SoleVersion(const std::string& aService,
@@ -129,8 +151,10 @@
 private:
   // When each version was last seen, by service.
   std::map<std::string, std::map<std::string, TimePoint>> lastSeen;
-  // First and last time at which the registry was read.
+  // Since when the registry has been read without a gap.
   TimePoint watchedSince{};
+  TimePoint lastReadAt{};
+  // The same as lastReadAt; unset while the registry can't be read.
   TimePoint confirmedAt{};
   bool isNewFleet = false;
 };
--- a/resumption/version_history.cc
+++ b/resumption/version_history.cc
@@ -16,10 +16,16 @@
 void
 VersionHistory::Confirm(TimePoint aNow)
 {
-  this->confirmedAt = aNow;
-  if (this->watchedSince == TimePoint{}) {
+  const bool isFirst = this->watchedSince == TimePoint{};
+  const bool hasGap = !isFirst && aNow - this->lastReadAt > kMaxGap;
+  if (isFirst || hasGap) {
     this->watchedSince = aNow;
   }
+  if (hasGap) {
+    this->isNewFleet = false;
+  }
+  this->lastReadAt = aNow;
+  this->confirmedAt = aNow;
 }
 
 bool
@@ -30,6 +36,23 @@
   return current && (this->isNewFleet || this->watchedSince <= aSince);
 }
 
+std::vector<std::string>
+VersionHistory::VersionsSince(const std::string& aService,
+                              TimePoint aSince) const
+{
+  std::vector<std::string> versions;
+  const auto found = this->lastSeen.find(aService);
+  if (found == this->lastSeen.end()) {
+    return versions;
+  }
+  for (const auto& [version, seenAt] : found->second) {
+    if (seenAt >= aSince) {
+      versions.push_back(version);
+    }
+  }
+  return versions;
+}
+
 std::optional<std::string>
 VersionHistory::SoleVersion(const std::string& aService,
                             TimePoint aSince,
