dispatch: adaptive calls are compared at the same alternates on all hosts

Calls for which their program's preferred endpoint had no room went to endpoints sampled by a hash of host and call, which held nothing of the program and had to prefill its whole prompt.

In adaptive mode they are now compared at groupAlternates (4) endpoints with room, ranked by a hash of program and endpoint. Calls without a group keep the former sample: they would all go to the same endpoints. Basic mode is unchanged.

The model of a fleet gets sub-agents, a bound on cache memory, its size as fields and more measures.

--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -56,7 +56,10 @@
 // Adaptive placement: a service is served either in basic mode, which is what
 // is described so far, or adaptively; see docs/design/contention.md. By default
 // it is served adaptively under contention, or once one of its endpoints has
-// stated its pace.
+// stated its pace. The endpoints that a call is compared at besides the
+// preferred one are then the `groupAlternates` ones with room that have the
+// highest hashes of program and endpoint. All hosts rank them alike, so calls
+// that the preferred endpoint has no room for find a warm cache there too.
 //
 // Ejection: an endpoint that cannot be reached gets no calls for a period that
 // doubles with each consecutive failure, up to a limit. If more than half of a
@@ -249,6 +252,9 @@
   double prefillStallWeight = 1;
   // Endpoints compared for a call, besides its group's preferred endpoint.
   size_t sampledEndpoints = 2;
+  // The same for a call that is placed adaptively. With two, calls of a group
+  // still spill to endpoints that hold nothing of it when all are busy.
+  size_t groupAlternates = 4;
 };
 
 class Dispatcher
@@ -405,6 +411,17 @@
     const std::vector<EndpointState*>& aStates,
     const EndpointState* aPreferred,
     uint64_t aCallId) const;
+  // The preferred endpoint, if it is in aStates, and the group's alternates in
+  // it: the same ones on all hosts.
+  std::vector<EndpointState*> GroupEndpoints(
+    const std::vector<EndpointState*>& aStates,
+    const EndpointState* aPreferred,
+    const std::string& aGroup) const;
+  // The endpoints among those with room at which the call is compared.
+  std::vector<EndpointState*> ComparedEndpoints(
+    const std::vector<EndpointState*>& aWithRoom,
+    const EndpointState* aPreferred,
+    const DispatchCall& aCall) const;
   // The best endpoint among those whose load is below aSlotFactor x slots.
   std::optional<ScoredEndpoint> BestEndpoint(const DispatchCall& aCall,
                                              double aSlotFactor,
--- a/dispatch/endpoint_choice.cc
+++ b/dispatch/endpoint_choice.cc
@@ -23,6 +23,13 @@
 // be prefix cache hits too.
 constexpr double kFullyCachedFraction = 0.9;
 
+// Rank of an endpoint for a group; the same on all hosts.
+uint64_t
+GroupRank(const std::string& aGroup, const std::string& aEndpoint)
+{
+  return StableHash(aGroup + "@" + aEndpoint);
+}
+
 int64_t
 AssumedCachedTokens(const PromptPart& aPart)
 {
@@ -70,7 +77,7 @@
   const auto rank = [this, &aGroup, meanLoad](const EndpointState* aState) {
     return std::make_tuple(this->FitsGroup(*aState, aGroup, meanLoad),
                            this->IsInOwnZone(*aState),
-                           StableHash(aGroup + "@" + aState->endpoint.id));
+                           GroupRank(aGroup, aState->endpoint.id));
   };
   const EndpointState* preferred = nullptr;
   for (const EndpointState* state : aStates) {
@@ -189,6 +196,43 @@
   return sampled;
 }
 
+std::vector<Dispatcher::EndpointState*>
+Dispatcher::GroupEndpoints(const std::vector<EndpointState*>& aStates,
+                           const EndpointState* aPreferred,
+                           const std::string& aGroup) const
+{
+  std::vector<std::pair<uint64_t, EndpointState*>> ranked;
+  std::vector<EndpointState*> compared;
+  for (EndpointState* state : aStates) {
+    if (state == aPreferred) {
+      compared.push_back(state);
+    } else {
+      ranked.emplace_back(GroupRank(aGroup, state->endpoint.id), state);
+    }
+  }
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  ranked.resize(std::min(ranked.size(), this->settings.groupAlternates));
+  for (const auto& entry : ranked) {
+    compared.push_back(entry.second);
+  }
+  return compared;
+}
+
+std::vector<Dispatcher::EndpointState*>
+Dispatcher::ComparedEndpoints(const std::vector<EndpointState*>& aWithRoom,
+                              const EndpointState* aPreferred,
+                              const DispatchCall& aCall) const
+{
+  // Calls without a group would all be compared at the same few endpoints.
+  if (aCall.cacheGroup.empty() || !this->IsAdaptive(aCall.service)) {
+    return this->SampleEndpoints(aWithRoom, aPreferred, aCall.id);
+  }
+  return this->GroupEndpoints(aWithRoom, aPreferred, aCall.cacheGroup);
+}
+
 std::optional<Dispatcher::ScoredEndpoint>
 Dispatcher::BestEndpoint(const DispatchCall& aCall,
                          double aSlotFactor,
@@ -206,7 +250,7 @@
   }
   std::optional<ScoredEndpoint> best;
   for (EndpointState* state :
-       this->SampleEndpoints(withRoom, preferred, aCall.id)) {
+       this->ComparedEndpoints(withRoom, preferred, aCall)) {
     const double millis =
       this->EstimateMillis(*state, aCall, state == preferred, aNow);
     if (!best || millis < best->expectedMillis) {
--- /dev/null
+++ b/dispatch/testing/contention_test.cc
@@ -0,0 +1,123 @@
+// Compares adaptive placement with basic placement in the same simulated fleet
+// and under the same arrivals.
+#include <gtest/gtest.h>
+
+#include "dispatch/testing/fleet_model.h"
+
+namespace tanagerseam {
+namespace {
+
+DispatchSettings
+WithMode(PlacementMode aMode)
+{
+  DispatchSettings settings;
+  settings.placement = aMode;
+  settings.prefillTokensPerMilli = FleetModel::kPrefillTokensPerMilli;
+  return settings;
+}
+
+// The size of deployment A of docs/design/contention.md.
+LoadPattern
+ManySubAgents()
+{
+  LoadPattern load;
+  load.durationMillis = 15000;
+  load.hosts = 77;
+  load.engines = 48;
+  load.reportIntervalMillis = 500;
+  load.slotsPerEngine = 6;
+  load.cacheTokens = 48750;
+  load.turnsPerProgram = 7;
+  load.subAgentProbability = 0.25;
+  load.programsPerSecond = 20;
+  return load;
+}
+
+// Sums over seeds, with the tail of completion times as their mean.
+struct Outcome
+{
+  double meanMillis = 0;
+  double tailMillis = 0;
+  double cachedFraction = 0;
+  // Relative to an even share.
+  double busiestEngine = 0;
+
+  std::string ToString() const
+  {
+    return "mean " + std::to_string(this->meanMillis) + " ms, 95% within " +
+           std::to_string(this->tailMillis) + " ms, cached " +
+           std::to_string(this->cachedFraction) + ", busiest engine " +
+           std::to_string(this->busiestEngine) + " of its share";
+  }
+};
+
+Outcome
+RunFleet(PlacementMode aMode, LoadPattern aLoad)
+{
+  constexpr uint64_t kSeeds[] = { 1, 2, 3, 4 };
+  Outcome outcome;
+  for (uint64_t seed : kSeeds) {
+    aLoad.seed = seed;
+    const ProgramTally tally = FleetModel(WithMode(aMode), aLoad).Run();
+    const auto weight = 1.0 / std::size(kSeeds);
+    outcome.meanMillis += weight * tally.MeanDuration();
+    outcome.tailMillis +=
+      weight * static_cast<double>(tally.DurationQuantile(0.95));
+    outcome.cachedFraction += weight * tally.CachedFraction();
+    outcome.busiestEngine +=
+      weight * tally.BusiestEngineShare() * aLoad.engines;
+  }
+  return outcome;
+}
+
+// Guards against calls that spill from their program's preferred endpoint to
+// endpoints that hold nothing of the program: each of them prefills the whole
+// prompt there and stalls the batch. It happens most when a program starts
+// several sub-agents at once, whose prompts begin with its own.
+TEST(ContentionTest, ManySubAgentsFindTheirProgramsPromptCached)
+{
+  const Outcome basic = RunFleet(PlacementMode::kBasic, ManySubAgents());
+  const Outcome adaptive = RunFleet(PlacementMode::kAdaptive, ManySubAgents());
+  SCOPED_TRACE("basic: " + basic.ToString() +
+               "; adaptive: " + adaptive.ToString());
+  EXPECT_GT(adaptive.cachedFraction, basic.cachedFraction + 0.1);
+  EXPECT_LT(adaptive.meanMillis, basic.meanMillis);
+  EXPECT_LT(adaptive.tailMillis, basic.tailMillis);
+  {
+    SCOPED_TRACE("and the calls do not converge on few engines");
+    EXPECT_LE(adaptive.busiestEngine, 1.5);
+  }
+}
+
+// Guards against hosts that rank the alternates of a program differently, so
+// that its calls find no warm cache where another host has sent it.
+TEST(ContentionTest, AllHostsRankTheAlternatesOfAProgramAlike)
+{
+  constexpr int kEndpoints = 48;
+  std::vector<DispatchEndpoint> endpoints;
+  for (int i = 0; i < kEndpoints; ++i) {
+    endpoints.push_back({ "engine-" + std::to_string(i), "zone", 1 });
+  }
+  const auto placedBy = [&endpoints](const std::string& aHost) {
+    DispatchSettings settings = WithMode(PlacementMode::kAdaptive);
+    settings.host = aHost;
+    Dispatcher dispatcher(settings);
+    dispatcher.SetEndpoints("models", endpoints);
+    std::set<std::string> placed;
+    for (uint64_t id = 1; id <= 1 + settings.groupAlternates; ++id) {
+      DispatchCall call;
+      call.id = id * 1000 + aHost.size();
+      call.service = "models";
+      call.cacheGroup = "program";
+      call.prompt = { { "program", 3000 } };
+      const auto decision =
+        dispatcher.Submit(call, TimePoint{} + std::chrono::hours(1));
+      placed.insert(std::get<Placement>(decision).endpoint);
+    }
+    return placed;
+  };
+  EXPECT_EQ(placedBy("host-1"), placedBy("another-host"));
+}
+
+} // namespace
+} // namespace tanagerseam
--- a/dispatch/testing/fleet_model.h
+++ b/dispatch/testing/fleet_model.h
@@ -9,11 +9,14 @@
 // Engines: in each step of kStepMillis an engine first prefills prompts one by
 // one in order of arrival, which stalls its whole batch, and spends the rest of
 // the step on decoding for each call of the batch. It admits calls to the batch
-// in FIFO order and caches the newest kMaxCachedParts prompts.
+// in FIFO order and caches the newest kMaxCachedParts prompts, or fewer if they
+// exceed its cache memory.
 //
 // Programs: a program is a sequence of turns; the prompt of each turn is the
 // program's history plus new tokens. Its target time is kTargetFactor times its
-// time on idle engines, plus kTargetSlackMillis.
+// time on idle engines, plus kTargetSlackMillis. After a turn, a program may
+// start sub-agents at once and waits for their end; their prompts begin with
+// its own.
 //
 // Complexity: steps x (engines x batch size + running programs).
 #ifndef TANAGERSEAM_DISPATCH_TESTING_FLEET_MODEL_H_
@@ -22,6 +25,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <numeric>
 #include <random>
 
 #include "dispatch/dispatch.h"
@@ -40,6 +44,16 @@
   int turnsPerProgram = 5;
   // Interval of the load reports between hosts.
   int64_t reportIntervalMillis = 200;
+  size_t hosts = 9;
+  int engines = 9;
+  int slotsPerEngine = 12;
+  // Cache memory of an engine; unlimited if 0.
+  int64_t cacheTokens = 0;
+  // Probability that a program starts sub-agents after a turn, their number,
+  // and their turns.
+  double subAgentProbability = 0;
+  int subAgents = 5;
+  int turnsPerSubAgent = 2;
 };
 
 struct ProgramTally
@@ -49,21 +63,53 @@
   int late = 0;
   // Ended even later, or refused kMaxTries times.
   int lost = 0;
+  // Of programs that ended, in milliseconds.
+  std::vector<int64_t> durations;
+  int64_t promptTokens = 0;
+  // Prompt tokens that the engine had cached.
+  int64_t cachedTokens = 0;
+  // Calls sent to each engine.
+  std::vector<int> callsByEngine;
 
   int Total() const { return this->inTime + this->late + this->lost; }
   double InTimeFraction() const
   {
     return static_cast<double>(this->inTime) / this->Total();
   }
+  double CachedFraction() const
+  {
+    return static_cast<double>(this->cachedTokens) /
+           static_cast<double>(this->promptTokens);
+  }
+  // Of all calls; an even share is 1 / engines.
+  double BusiestEngineShare() const
+  {
+    return static_cast<double>(*std::max_element(this->callsByEngine.begin(),
+                                                 this->callsByEngine.end())) /
+           std::accumulate(
+             this->callsByEngine.begin(), this->callsByEngine.end(), 0);
+  }
+  double MeanDuration() const
+  {
+    return std::accumulate(
+             this->durations.begin(), this->durations.end(), 0.0) /
+           static_cast<double>(this->durations.size());
+  }
+  int64_t DurationQuantile(double aQuantile) const
+  {
+    std::vector<int64_t> sorted = this->durations;
+    std::sort(sorted.begin(), sorted.end());
+    return sorted.at(
+      static_cast<size_t>(aQuantile * static_cast<double>(sorted.size() - 1)));
+  }
 };
 
 class FleetModel
 {
 public:
   static constexpr int64_t kStepMillis = 4;
-  static constexpr int kHosts = 9;
-  static constexpr int kEngines = 9;
-  static constexpr int kSlotsPerEngine = 12;
+  // Engines of a default LoadPattern.
+  static constexpr int kEngines = LoadPattern{}.engines;
   static constexpr double kDecodeMillisPerToken = 3;
   static constexpr double kPrefillTokensPerMilli = 122;
   static constexpr int kOutputTokensPerTurn = 75;
@@ -83,16 +129,17 @@
     , random(aLoad.seed)
   {
     std::vector<DispatchEndpoint> endpoints;
-    for (int i = 0; i < kEngines; ++i) {
-      endpoints.push_back({ EngineName(i), "zone", kSlotsPerEngine });
+    for (int i = 0; i < aLoad.engines; ++i) {
+      endpoints.push_back({ EngineName(i), "zone", aLoad.slotsPerEngine });
     }
-    for (int i = 0; i < kHosts; ++i) {
+    for (size_t i = 0; i < aLoad.hosts; ++i) {
       DispatchSettings settings = aSettings;
       settings.host = std::to_string(i);
       this->hosts.emplace_back(settings);
       this->hosts.back().SetEndpoints("models", endpoints);
     }
-    this->engines.resize(kEngines);
+    this->engines.resize(static_cast<size_t>(aLoad.engines));
+    this->tally.callsByEngine.resize(this->engines.size());
   }
 
   ProgramTally Run()
@@ -103,7 +150,7 @@
         this->StartPrograms();
       }
       this->StartTurns();
-      for (int i = 0; i < kEngines; ++i) {
+      for (int i = 0; i < this->load.engines; ++i) {
         this->StepEngine(i);
       }
       this->ExchangeReports();
@@ -123,6 +170,11 @@
     int64_t startedAt = 0;
     int64_t nextTurnAt = 0;
     bool running = false;
+    // Of a sub-agent: the program that waits for it, and the prompt of that.
+    std::shared_ptr<Program> parent;
+    std::vector<PromptPart> prefix;
+    // Sub-agents that have not ended.
+    int subAgents = 0;
   };
   struct Call
   {
@@ -182,13 +234,14 @@
   {
     for (size_t i = 0; i < this->programs.size(); ++i) {
       const auto program = this->programs[i];
-      if (!program->running && this->now >= program->nextTurnAt) {
+      if (!program->running && program->subAgents == 0 &&
+          this->now >= program->nextTurnAt) {
         this->StartTurn(program);
       }
     }
     for (size_t i = 0; i < this->programs.size();) {
       const bool finished =
-        this->programs[i]->turn >= this->load.turnsPerProgram ||
+        this->programs[i]->turn >= this->TurnsOf(*this->programs[i]) ||
         this->programs[i]->tries >= kMaxTries;
       if (finished) {
         this->programs.erase(this->programs.begin() + static_cast<int64_t>(i));
@@ -198,22 +251,30 @@
     }
   }
 
+  int TurnsOf(const Program& aProgram) const
+  {
+    return aProgram.parent ? this->load.turnsPerSubAgent
+                           : this->load.turnsPerProgram;
+  }
+
   void StartTurn(const std::shared_ptr<Program>& aProgram)
   {
     DispatchCall dispatchCall;
     dispatchCall.id = this->nextId++;
     dispatchCall.service = "models";
     dispatchCall.route = "turn";
-    dispatchCall.beginsProgram = aProgram->turn == 0;
+    dispatchCall.beginsProgram = !aProgram->parent && aProgram->turn == 0;
     dispatchCall.programDeadline =
       At(aProgram->startedAt + this->TargetMillis());
     dispatchCall.maxOutputTokens = kOutputTokensPerTurn;
-    dispatchCall.prompt = { { std::to_string(aProgram->id),
-                              aProgram->turn *
-                                  (kNewTokensPerTurn + kOutputTokensPerTurn) +
-                                kNewTokensPerTurn } };
-    dispatchCall.cacheGroup = std::to_string(aProgram->id);
-    std::uniform_int_distribution<size_t> anyHost(0, kHosts - 1);
+    dispatchCall.prompt = aProgram->prefix;
+    dispatchCall.prompt.push_back(
+      { std::to_string(aProgram->id),
+        aProgram->turn * (kNewTokensPerTurn + kOutputTokensPerTurn) +
+          kNewTokensPerTurn });
+    dispatchCall.cacheGroup =
+      std::to_string(aProgram->parent ? aProgram->parent->id : aProgram->id);
+    std::uniform_int_distribution<size_t> anyHost(0, this->load.hosts - 1);
     std::bernoulli_distribution changesHost(kHostChangeProbability);
     if (aProgram->turn == 0 || changesHost(this->random)) {
       aProgram->host = anyHost(this->random);
@@ -245,8 +306,9 @@
     Call call = std::move(found->second);
     this->calls.erase(found);
     call.sentAt = this->now;
-    for (int i = 0; i < kEngines; ++i) {
+    for (int i = 0; i < this->load.engines; ++i) {
       if (EngineName(i) == aPlacement.endpoint) {
+        ++this->tally.callsByEngine[static_cast<size_t>(i)];
         this->engines[static_cast<size_t>(i)].queue.push_back(std::move(call));
         return;
       }
@@ -254,35 +316,63 @@
   }
 
   // Moves calls from the queue to the batch. Cached tokens need no prefill.
-  static void FillBatch(Engine& aEngine)
+  void FillBatch(Engine& aEngine)
   {
-    while (aEngine.batch.size() < kSlotsPerEngine && !aEngine.queue.empty()) {
+    const auto slots = static_cast<size_t>(this->load.slotsPerEngine);
+    while (aEngine.batch.size() < slots && !aEngine.queue.empty()) {
       Call call = std::move(aEngine.queue.front());
       aEngine.queue.pop_front();
+      // A part can only be cached behind parts that are cached whole.
+      bool prefixCached = true;
       for (const PromptPart& part : call.prompt) {
-        auto cached = std::find_if(
-          aEngine.cached.begin(),
-          aEngine.cached.end(),
-          [&part](const PromptPart& aCached) { return aCached.id == part.id; });
-        call.tokensToPrefill += static_cast<double>(part.tokens);
-        if (cached != aEngine.cached.end()) {
-          call.tokensToPrefill -= static_cast<double>(cached->tokens);
-          aEngine.cached.erase(cached);
-        }
+        const int64_t known = TakeCached(aEngine, part.id);
+        const int64_t cached = prefixCached ? std::min(known, part.tokens) : 0;
+        prefixCached = cached == part.tokens;
+        call.tokensToPrefill += static_cast<double>(part.tokens - cached);
+        this->tally.promptTokens += part.tokens;
+        this->tally.cachedTokens += cached;
+        const bool last = &part == &call.prompt.back();
         aEngine.cached.push_front(
-          { part.id, part.tokens + kOutputTokensPerTurn });
+          { part.id,
+            std::max(known, part.tokens + (last ? kOutputTokensPerTurn : 0)) });
       }
-      while (aEngine.cached.size() > kMaxCachedParts) {
+      while (aEngine.cached.size() > kMaxCachedParts ||
+             (this->load.cacheTokens > 0 &&
+              CachedTokens(aEngine) > this->load.cacheTokens)) {
         aEngine.cached.pop_back();
       }
       aEngine.batch.push_back(std::move(call));
     }
   }
 
+  // Removes the part from the cache and returns its tokens, 0 if it is missing.
+  static int64_t TakeCached(Engine& aEngine, const std::string& aId)
+  {
+    auto found = std::find_if(
+      aEngine.cached.begin(),
+      aEngine.cached.end(),
+      [&aId](const PromptPart& aCached) { return aCached.id == aId; });
+    if (found == aEngine.cached.end()) {
+      return 0;
+    }
+    const int64_t tokens = found->tokens;
+    aEngine.cached.erase(found);
+    return tokens;
+  }
+
+  static int64_t CachedTokens(const Engine& aEngine)
+  {
+    int64_t sum = 0;
+    for (const PromptPart& part : aEngine.cached) {
+      sum += part.tokens;
+    }
+    return sum;
+  }
+
   void StepEngine(int aIndex)
   {
     Engine& engine = this->engines[static_cast<size_t>(aIndex)];
-    FillBatch(engine);
+    this->FillBatch(engine);
     double left = kStepMillis;
     for (Call& call : engine.batch) {
       const double spent =
@@ -323,10 +413,16 @@
     Program& program = *aCall.program;
     program.running = false;
     program.nextTurnAt = this->now + kTurnPauseMillis;
-    if (++program.turn < this->load.turnsPerProgram) {
+    if (++program.turn < this->TurnsOf(program)) {
+      this->StartSubAgents(aCall);
+      return;
+    }
+    if (program.parent) {
+      --program.parent->subAgents;
       return;
     }
     const int64_t took = this->now - program.startedAt;
+    this->tally.durations.push_back(took);
     if (took <= this->TargetMillis()) {
       ++this->tally.inTime;
     } else if (took <= 2 * this->TargetMillis()) {
@@ -336,14 +432,34 @@
     }
   }
 
+  void StartSubAgents(const Call& aCall)
+  {
+    const double probability =
+      aCall.program->parent ? 0 : this->load.subAgentProbability;
+    if (probability == 0 ||
+        !std::bernoulli_distribution(probability)(this->random)) {
+      return;
+    }
+    for (int i = 0; i < this->load.subAgents; ++i) {
+      auto subAgent = std::make_shared<Program>();
+      subAgent->id = this->nextId++;
+      subAgent->startedAt = aCall.program->startedAt;
+      subAgent->nextTurnAt = this->now;
+      subAgent->parent = aCall.program;
+      subAgent->prefix = aCall.prompt;
+      this->programs.push_back(subAgent);
+      ++aCall.program->subAgents;
+    }
+  }
+
   void ExchangeReports()
   {
     if (this->now % this->load.reportIntervalMillis != 0) {
       return;
     }
-    for (size_t from = 0; from < kHosts; ++from) {
+    for (size_t from = 0; from < this->hosts.size(); ++from) {
       const auto loads = this->hosts[from].OwnLoads();
-      for (size_t to = 0; to < kHosts; ++to) {
+      for (size_t to = 0; to < this->hosts.size(); ++to) {
         if (to != from) {
           this->hosts[to].OnPeerReport(
             std::to_string(from), loads, At(this->now));
