dispatch: the pace that endpoints state enters estimates, capacity and room

An endpoint in a slow period, in which work takes 2.5 times as long, got calls as if it had its usual speed. It takes effect for adaptive services whose endpoints state a pace; absurd ones are ignored.

The first samples of a latency ratio now count as in a mean, in adaptive mode: a host saw about 5 calls per endpoint in 15 s of the model, in which a weight of 0.1 learns two fifths of a difference in speed.

--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -208,6 +208,17 @@
   });
 }
 
+double
+Dispatcher::LatencyWeight(const EndpointState& aState) const
+{
+  if (!this->IsAdaptive(aState.service)) {
+    return kEwmaWeight;
+  }
+  // A host gets few samples of an endpoint in a large fleet. The first ones
+  // count as in a mean that begins with one sample of an average endpoint.
+  return std::max(kEwmaWeight, 1.0 / (aState.latencySamples + 2));
+}
+
 void
 Dispatcher::UpdateLatency(EndpointState& aState,
                           const InFlightCall& aCall,
@@ -232,7 +243,9 @@
   }
   const double ratio =
     std::clamp(sample / mean, kMinLatencyRatio, kMaxLatencyRatio);
-  aState.latencyRatio += kEwmaWeight * (ratio - aState.latencyRatio);
+  aState.latencyRatio +=
+    this->LatencyWeight(aState) * (ratio - aState.latencyRatio);
+  ++aState.latencySamples;
 }
 
 void
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -85,6 +85,7 @@
 
 #include "kernel/digest.h"
 #include "kernel/kernel.h"
+#include "work/work.h"
 
 namespace tanagerseam {
 
@@ -327,6 +328,9 @@
     // Moving average of the endpoint's latency relative to the mean of the
     // route.
     double latencyRatio = 1;
+    // Samples in latencyRatio.
+    int latencySamples = 0;
+    EndpointPace pace;
     int consecutiveFailures = 0;
     TimePoint ejectedUntil{};
     TimePoint heldUntil{};
@@ -380,6 +384,18 @@
   }
   // Calls that it can have in flight, by its slots and its rate limit.
   double Capacity(const EndpointState& aState) const;
+  // True if the endpoint has stated its pace and is placed on adaptively.
+  bool IsPaced(const EndpointState& aState) const
+  {
+    return aState.pace.IsStated() &&
+           this->settings.placement != PlacementMode::kBasic;
+  }
+  // Time that work takes there relative to the mean: latencyRatio, or the pace
+  // of this moment if the endpoint states it.
+  double Slowness(const EndpointState& aState, TimePoint aNow) const;
+  // Capacity, less what the pace of this moment takes away. Never more than the
+  // slots: an endpoint runs no more calls when it is fast.
+  double PacedCapacity(const EndpointState& aState, TimePoint aNow) const;
   // True if the rate limits of the call's endpoints do not permit it before its
   // deadline, after the queued calls that are placed before it.
   bool WouldMissDeadline(const DispatchCall& aCall, TimePoint aNow);
@@ -435,6 +451,8 @@
                   TimePoint aNow);
   // Adds the part to the model of the endpoint's cache (LRU).
   static void RecordCached(EndpointState& aState, const PromptPart& aPart);
+  // Weight of the next sample in an endpoint's latencyRatio.
+  double LatencyWeight(const EndpointState& aState) const;
   void UpdateLatency(EndpointState& aState,
                      const InFlightCall& aCall,
                      const AttemptOutcome& aOutcome);
--- a/dispatch/endpoint_choice.cc
+++ b/dispatch/endpoint_choice.cc
@@ -115,7 +115,8 @@
                            bool aIsPreferred,
                            TimePoint aNow) const
 {
-  double serviceMillis = this->RouteMillis(aCall.route) * aState.latencyRatio;
+  const double slowness = this->Slowness(aState, aNow);
+  double serviceMillis = this->RouteMillis(aCall.route) * slowness;
   if (!aCall.affinityKey.empty() &&
       aState.cachedIndex.count(aCall.affinityKey) > 0) {
     serviceMillis *= 1 - kAffinitySaving;
@@ -130,8 +131,8 @@
     static_cast<double>(UncachedTokens(aState, aCall, aIsPreferred));
   const double stalled =
     this->settings.prefillStallWeight * std::min(load, slots);
-  const double prefill =
-    uncached / this->settings.prefillTokensPerMilli * (1 + stalled);
+  const double prefill = uncached / this->settings.prefillTokensPerMilli *
+                         (1 + stalled) * (this->IsPaced(aState) ? slowness : 1);
   const double crossZone =
     this->IsInOwnZone(aState) ? 0 : this->settings.crossZoneMillis;
   return serviceMillis * slowdown + wait + prefill + crossZone;
@@ -243,7 +244,8 @@
     this->PreferredEndpoint(candidates, aCall.cacheGroup, aNow);
   std::vector<EndpointState*> withRoom;
   for (EndpointState* state : candidates) {
-    const double room = std::max(1.0, aSlotFactor * this->Capacity(*state));
+    const double room =
+      std::max(1.0, aSlotFactor * this->PacedCapacity(*state, aNow));
     if (aNow >= state->heldUntil && this->TotalLoad(*state, aNow) < room) {
       withRoom.push_back(state);
     }
--- a/dispatch/endpoint_load.cc
+++ b/dispatch/endpoint_load.cc
@@ -28,6 +28,22 @@
     *aState.endpoint.callsPerSecond * callMillis / 1000, kMinCapacity, slots);
 }
 
+double
+Dispatcher::Slowness(const EndpointState& aState, TimePoint aNow) const
+{
+  return this->IsPaced(aState) ? aState.pace.Slowness(aState.latencyRatio, aNow)
+                               : aState.latencyRatio;
+}
+
+double
+Dispatcher::PacedCapacity(const EndpointState& aState, TimePoint aNow) const
+{
+  const double capacity = this->Capacity(aState);
+  return this->IsPaced(aState)
+           ? capacity / std::max(1.0, this->Slowness(aState, aNow))
+           : capacity;
+}
+
 double
 Dispatcher::OtherLoad(const EndpointState& aState, TimePoint aNow) const
 {
@@ -91,7 +107,7 @@
   for (const auto& entry : this->endpoints) {
     const EndpointState& state = entry.second;
     if (state.service == aService && state.takesCalls) {
-      capacity += this->Capacity(state);
+      capacity += this->PacedCapacity(state, aNow);
       load += this->TotalLoad(state, aNow);
     }
   }
@@ -136,7 +152,7 @@
     EndpointState& state = found->second;
     state.reportedOtherLoad = std::max(0, aCalls - state.ownLoad);
     state.reportedAt = aNow;
-    if (aPace) {
+    if (aPace && state.pace.OnReport(*aPace, aNow)) {
       this->pacedServices.insert(state.service);
     }
   }
--- a/dispatch/testing/contention_test.cc
+++ b/dispatch/testing/contention_test.cc
@@ -2,6 +2,8 @@
 // and under the same arrivals.
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "dispatch/testing/fleet_model.h"
 
 namespace tanagerseam {
@@ -119,5 +121,36 @@
   EXPECT_EQ(placedBy("host-1"), placedBy("another-host"));
 }
 
+// Guards against calls that are sent to an endpoint in a slow period as if it
+// had its usual speed, and against treating one differently that states no
+// pace, or an absurd one.
+TEST(ContentionTest, AnEndpointInASlowPeriodHasLessRoom)
+{
+  const TimePoint start = TimePoint{} + std::chrono::hours(1);
+  const auto placedOnSlow = [start](std::optional<double> aPace,
+                                    PlacementMode aMode) {
+    Dispatcher dispatcher(WithMode(aMode));
+    dispatcher.SetEndpoints("models",
+                            { { "slow", "zone", 6 }, { "usual", "zone", 6 } });
+    dispatcher.OnEndpointReport("slow", 0, start, aPace);
+    int placed = 0;
+    for (uint64_t id = 1; id <= 8; ++id) {
+      DispatchCall call;
+      call.id = id;
+      call.service = "models";
+      const auto decision = dispatcher.Submit(call, start);
+      const auto* placement = std::get_if<Placement>(&decision);
+      placed += placement != nullptr && placement->endpoint == "slow" ? 1 : 0;
+    }
+    return placed;
+  };
+  const int unstated = placedOnSlow(std::nullopt, PlacementMode::kAuto);
+  EXPECT_GE(unstated, 3);
+  EXPECT_LE(placedOnSlow(2.5, PlacementMode::kAuto), 2);
+  EXPECT_EQ(placedOnSlow(2.5, PlacementMode::kBasic), unstated);
+  EXPECT_EQ(placedOnSlow(std::nan(""), PlacementMode::kAuto), unstated);
+  EXPECT_EQ(placedOnSlow(0, PlacementMode::kAuto), unstated);
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/dispatch/testing/fleet_model.h
+++ b/dispatch/testing/fleet_model.h
@@ -8,9 +8,10 @@
 //
 // Engines: in each step of kStepMillis an engine first prefills prompts one by
 // one in order of arrival, which stalls its whole batch, and spends the rest of
-// the step on decoding for each call of the batch. It admits calls to the batch
-// in FIFO order and caches the newest kMaxCachedParts prompts, or fewer if they
-// exceed its cache memory.
+// the step on decoding for each call of the batch. Engines may differ in speed
+// and be slow for periods, which they state with their load. An engine admits
+// calls to the batch in FIFO order and caches the newest kMaxCachedParts
+// prompts, or fewer if they exceed its cache memory.
 //
 // Programs: a program is a sequence of turns; the prompt of each turn is the
 // program's history plus new tokens. Its target time is kTargetFactor times its
@@ -23,6 +24,7 @@
 #define TANAGERSEAM_DISPATCH_TESTING_FLEET_MODEL_H_
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <memory>
 #include <numeric>
@@ -49,6 +51,13 @@
   int slotsPerEngine = 12;
   // Cache memory of an engine; unlimited if 0.
   int64_t cacheTokens = 0;
+  // Speeds of the first engines; the others have speed 1.
+  std::array<double, 3> speeds{ 1, 1, 1 };
+  // Fraction of the time for which an engine is slow, by slowFactor and in
+  // periods of this mean length. Engines state their pace if it is not 0.
+  double slowFraction = 0;
+  double slowFactor = 2.5;
+  int64_t slowPeriodMillis = 600;
   // Probability that a program starts sub-agents after a turn, their number,
   // and their turns.
   double subAgentProbability = 0;
@@ -140,6 +149,10 @@
     }
     this->engines.resize(static_cast<size_t>(aLoad.engines));
     this->tally.callsByEngine.resize(this->engines.size());
+    for (size_t i = 0; i < std::min(aLoad.speeds.size(), this->engines.size());
+         ++i) {
+      this->engines[i].speed = aLoad.speeds[i];
+    }
   }
 
   ProgramTally Run()
@@ -192,6 +205,9 @@
     std::deque<Call> batch;
     std::deque<Call> queue;
     std::deque<PromptPart> cached;
+    double speed = 1;
+    double pace = 1;
+    int64_t paceChangesAt = 0;
   };
 
   static std::string EngineName(int aIndex)
@@ -373,7 +389,8 @@
   {
     Engine& engine = this->engines[static_cast<size_t>(aIndex)];
     this->FillBatch(engine);
-    double left = kStepMillis;
+    this->UpdatePace(engine);
+    double left = kStepMillis * engine.speed / engine.pace;
     for (Call& call : engine.batch) {
       const double spent =
         std::min(left, call.tokensToPrefill / kPrefillTokensPerMilli);
@@ -383,8 +400,10 @@
     for (size_t i = 0; i < engine.batch.size();) {
       Call& call = engine.batch[i];
       if (call.tokensToPrefill <= 0) {
-        call.firstTokenAt =
-          call.firstTokenAt == 0 ? this->now : call.firstTokenAt;
+        if (call.firstTokenAt == 0) {
+          call.firstTokenAt = this->now;
+          this->ReportPace(call, aIndex);
+        }
         call.tokensToDecode -= left / kDecodeMillisPerToken;
       }
       if (call.tokensToDecode > 0) {
@@ -397,6 +416,34 @@
     }
   }
 
+  void UpdatePace(Engine& aEngine)
+  {
+    if (this->load.slowFraction == 0 || this->now < aEngine.paceChangesAt) {
+      return;
+    }
+    const bool slow = aEngine.paceChangesAt > 0 && aEngine.pace == 1;
+    const double odds = (1 - this->load.slowFraction) / this->load.slowFraction;
+    std::exponential_distribution<double> period(
+      1.0 /
+      (static_cast<double>(this->load.slowPeriodMillis) * (slow ? 1 : odds)));
+    aEngine.pace = slow ? this->load.slowFactor : 1;
+    aEngine.paceChangesAt =
+      this->now + 1 + static_cast<int64_t>(period(this->random));
+  }
+
+  // The head of the answer.
+  void ReportPace(const Call& aCall, int aEngine)
+  {
+    if (this->load.slowFraction > 0) {
+      const Engine& engine = this->engines[static_cast<size_t>(aEngine)];
+      this->hosts[aCall.host].OnEndpointReport(
+        EngineName(aEngine),
+        static_cast<int>(engine.batch.size() + engine.queue.size()),
+        At(this->now),
+        engine.pace);
+    }
+  }
+
   void Finish(const Call& aCall, int aEngine)
   {
     Dispatcher& host = this->hosts[aCall.host];
