dispatch: the model of an endpoint's cache holds no more tokens than its memory

A host believed up to 512 parts to be cached at an engine, however large. For adaptive services the least recently used parts are now evicted once their tokens exceed cacheTokens of the service, which also bounds the model's memory. An endpoint that has started again has an empty cache. Parts that other hosts sent there are unknown and don't count, so the model stays too optimistic.

--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -47,6 +47,13 @@
   }
   for (const DispatchEndpoint& endpoint : aEndpoints) {
     EndpointState& state = this->endpoints[endpoint.id];
+    const bool restarted =
+      state.endpoint.startedAtMillis != endpoint.startedAtMillis;
+    if (restarted && this->IsAdaptive(aService)) {
+      state.cached.clear();
+      state.cachedIndex.clear();
+      state.cachedTokens = 0;
+    }
     state.endpoint = endpoint;
     state.hash = EndpointHash(endpoint.id);
     state.service = aService;
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -119,6 +119,10 @@
   std::string version;
   // Empty if unknown.
   std::string region;
+  // Prompt tokens that its cache holds; 0 if unknown.
+  int64_t cacheTokens = 0;
+  // Identifies its incarnation. Another one has an empty cache and no work.
+  int64_t startedAtMillis = 0;
 };
 
 // How calls are placed; the names are values of the setting `placement`.
@@ -339,6 +343,8 @@
     std::list<CachedPart> cached;
     std::unordered_map<std::string, std::list<CachedPart>::iterator>
       cachedIndex;
+    // Sum over `cached`.
+    int64_t cachedTokens = 0;
   };
   struct InFlightCall
   {
@@ -449,8 +455,11 @@
   Placement Place(const ScoredEndpoint& aEndpoint,
                   const DispatchCall& aCall,
                   TimePoint aNow);
-  // Adds the part to the model of the endpoint's cache (LRU).
-  static void RecordCached(EndpointState& aState, const PromptPart& aPart);
+  // Adds the part to the model of the endpoint's cache. The least recently used
+  // parts are evicted; for adaptive services by the endpoint's cache memory
+  // too.
+  void RecordCached(EndpointState& aState, const PromptPart& aPart) const;
+  static void EvictLeastRecentlyUsed(EndpointState& aState);
   // Weight of the next sample in an endpoint's latencyRatio.
   double LatencyWeight(const EndpointState& aState) const;
   void UpdateLatency(EndpointState& aState,
--- a/dispatch/endpoint_choice.cc
+++ b/dispatch/endpoint_choice.cc
@@ -263,20 +263,37 @@
 }
 
 void
-Dispatcher::RecordCached(EndpointState& aState, const PromptPart& aPart)
+Dispatcher::RecordCached(EndpointState& aState, const PromptPart& aPart) const
 {
   auto known = aState.cachedIndex.find(aPart.id);
   if (known != aState.cachedIndex.end()) {
     aState.cached.splice(aState.cached.begin(), aState.cached, known->second);
-    known->second->tokens = std::max(known->second->tokens, aPart.tokens);
-    return;
+    const int64_t tokens = std::max(known->second->tokens, aPart.tokens);
+    aState.cachedTokens += tokens - known->second->tokens;
+    known->second->tokens = tokens;
+  } else {
+    aState.cached.push_front({ aPart.id, aPart.tokens });
+    aState.cachedIndex[aPart.id] = aState.cached.begin();
+    aState.cachedTokens += aPart.tokens;
   }
-  aState.cached.push_front({ aPart.id, aPart.tokens });
-  aState.cachedIndex[aPart.id] = aState.cached.begin();
   if (aState.cached.size() > kMaxCachedParts) {
-    aState.cachedIndex.erase(aState.cached.back().id);
-    aState.cached.pop_back();
+    EvictLeastRecentlyUsed(aState);
   }
+  const int64_t memory =
+    this->IsAdaptive(aState.service) ? aState.endpoint.cacheTokens : 0;
+  // The part itself stays: the endpoint holds what it runs.
+  while (memory > 0 && aState.cachedTokens > memory &&
+         aState.cached.size() > 1) {
+    EvictLeastRecentlyUsed(aState);
+  }
+}
+
+void
+Dispatcher::EvictLeastRecentlyUsed(EndpointState& aState)
+{
+  aState.cachedTokens -= aState.cached.back().tokens;
+  aState.cachedIndex.erase(aState.cached.back().id);
+  aState.cached.pop_back();
 }
 
 } // namespace tanagerseam
--- a/dispatch/testing/contention_test.cc
+++ b/dispatch/testing/contention_test.cc
@@ -121,6 +121,38 @@
   EXPECT_EQ(placedBy("host-1"), placedBy("another-host"));
 }
 
+// Guards against the belief that an endpoint still caches a prompt that its
+// memory can't hold any more: with large prompts, a limit of parts is far
+// beyond it.
+TEST(ContentionTest, PromptsBeyondTheCacheMemoryCountAsUncached)
+{
+  const TimePoint start = TimePoint{} + std::chrono::hours(1);
+  const auto expectedAgain = [start](int64_t aCacheTokens,
+                                     PlacementMode aMode) {
+    Dispatcher dispatcher(WithMode(aMode));
+    DispatchEndpoint endpoint{ "engine", "zone", 8 };
+    endpoint.cacheTokens = aCacheTokens;
+    dispatcher.SetEndpoints("models", { endpoint });
+    uint64_t nextId = 1;
+    const auto submit = [&](const std::string& aPrompt) {
+      DispatchCall call;
+      call.id = nextId++;
+      call.service = "models";
+      call.prompt = { { aPrompt, 20000 } };
+      const auto decision = dispatcher.Submit(call, start);
+      dispatcher.OnAttemptEnded(call.id, { AttemptResult::kCancelled }, start);
+      return std::get<Placement>(decision).expectedMillis;
+    };
+    const double first = submit("first");
+    submit("second");
+    submit("third");
+    return submit("first") / first;
+  };
+  EXPECT_DOUBLE_EQ(expectedAgain(48750, PlacementMode::kAdaptive), 1);
+  EXPECT_LT(expectedAgain(69499, PlacementMode::kAdaptive), 0.7);
+  EXPECT_LT(expectedAgain(48750, PlacementMode::kBasic), 0.7);
+}
+
 // Guards against calls that are sent to an endpoint in a slow period as if it
 // had its usual speed, and against treating one differently that states no
 // pace, or an absurd one.
--- a/dispatch/testing/fleet_model.h
+++ b/dispatch/testing/fleet_model.h
@@ -140,6 +140,7 @@
     std::vector<DispatchEndpoint> endpoints;
     for (int i = 0; i < aLoad.engines; ++i) {
       endpoints.push_back({ EngineName(i), "zone", aLoad.slotsPerEngine });
+      endpoints.back().cacheTokens = aLoad.cacheTokens;
     }
     for (size_t i = 0; i < aLoad.hosts; ++i) {
       DispatchSettings settings = aSettings;
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -110,20 +110,23 @@
 GatewayState::UpdateDispatcher()
 {
   std::map<std::string, std::vector<DispatchEndpoint>> byService;
+  std::map<std::string, int64_t> cacheTokens;
   if (this->catalog) {
     for (const ServiceEntry& service : this->catalog->Services()) {
       byService[service.name];
+      cacheTokens[service.name] = service.cacheTokens;
     }
   }
   for (auto& entry : byService) {
     for (const EndpointEntry* endpoint : this->endpoints.Usable(entry.first)) {
-      entry.second.push_back(
-        { endpoint->id,
-          endpoint->zone,
-          endpoint->slots,
-          this->CallsPerSecond(endpoint->id),
-          endpoint->version,
-          this->settings.regions.RegionOf(endpoint->zone) });
+      entry.second.push_back({ endpoint->id,
+                               endpoint->zone,
+                               endpoint->slots,
+                               this->CallsPerSecond(endpoint->id),
+                               endpoint->version,
+                               this->settings.regions.RegionOf(endpoint->zone),
+                               cacheTokens[entry.first],
+                               endpoint->startedAtMillis });
     }
     this->dispatcher.SetEndpoints(entry.first, entry.second);
   }
