--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -56,7 +56,10 @@
 // Adaptive placement: a service is served either in basic mode, which is what
 // is described so far, or adaptively; see docs/design/contention.md. By default
 // it is served adaptively under contention, or once one of its endpoints has
-// stated its pace.
+// stated its pace. The endpoints that a call is compared at besides the
+// preferred one are then the `groupAlternates` ones with room that have the
+// highest hashes of program and endpoint. All hosts rank them alike, so calls
+// that the preferred endpoint has no room for find a warm cache there too.
 //
 // Ejection: an endpoint that cannot be reached gets no calls for a period that
 // doubles with each consecutive failure, up to a limit. If more than half of a
@@ -82,6 +85,7 @@
 
 #include "kernel/digest.h"
 #include "kernel/kernel.h"
+#include "work/work.h"
 
 namespace tanagerseam {
 
@@ -115,6 +119,10 @@
   std::string version;
   // Empty if unknown.
   std::string region;
+  // Prompt tokens that its cache holds; 0 if unknown.
+  int64_t cacheTokens = 0;
+  // Identifies its incarnation. Another one has an empty cache and no work.
+  int64_t startedAtMillis = 0;
 };
 
 // How calls are placed; the names are values of the setting `placement`.
@@ -249,6 +257,9 @@
   double prefillStallWeight = 1;
   // Endpoints compared for a call, besides its group's preferred endpoint.
   size_t sampledEndpoints = 2;
+  // The same for a call that is placed adaptively. With two, calls of a group
+  // still spill to endpoints that hold nothing of it when all are busy.
+  size_t groupAlternates = 4;
 };
 
 class Dispatcher
@@ -321,6 +332,9 @@
     // Moving average of the endpoint's latency relative to the mean of the
     // route.
     double latencyRatio = 1;
+    // Samples in latencyRatio.
+    int latencySamples = 0;
+    EndpointPace pace;
     int consecutiveFailures = 0;
     TimePoint ejectedUntil{};
     TimePoint heldUntil{};
@@ -329,6 +343,8 @@
     std::list<CachedPart> cached;
     std::unordered_map<std::string, std::list<CachedPart>::iterator>
       cachedIndex;
+    // Sum over `cached`.
+    int64_t cachedTokens = 0;
   };
   struct InFlightCall
   {
@@ -374,6 +390,18 @@
   }
   // Calls that it can have in flight, by its slots and its rate limit.
   double Capacity(const EndpointState& aState) const;
+  // True if the endpoint has stated its pace and is placed on adaptively.
+  bool IsPaced(const EndpointState& aState) const
+  {
+    return aState.pace.IsStated() &&
+           this->settings.placement != PlacementMode::kBasic;
+  }
+  // Time that work takes there relative to the mean: latencyRatio, or the pace
+  // of this moment if the endpoint states it.
+  double Slowness(const EndpointState& aState, TimePoint aNow) const;
+  // Capacity, less what the pace of this moment takes away. Never more than the
+  // slots: an endpoint runs no more calls when it is fast.
+  double PacedCapacity(const EndpointState& aState, TimePoint aNow) const;
   // True if the rate limits of the call's endpoints do not permit it before its
   // deadline, after the queued calls that are placed before it.
   bool WouldMissDeadline(const DispatchCall& aCall, TimePoint aNow);
@@ -405,6 +433,17 @@
     const std::vector<EndpointState*>& aStates,
     const EndpointState* aPreferred,
     uint64_t aCallId) const;
+  // The preferred endpoint, if it is in aStates, and the group's alternates in
+  // it: the same ones on all hosts.
+  std::vector<EndpointState*> GroupEndpoints(
+    const std::vector<EndpointState*>& aStates,
+    const EndpointState* aPreferred,
+    const std::string& aGroup) const;
+  // The endpoints among those with room at which the call is compared.
+  std::vector<EndpointState*> ComparedEndpoints(
+    const std::vector<EndpointState*>& aWithRoom,
+    const EndpointState* aPreferred,
+    const DispatchCall& aCall) const;
   // The best endpoint among those whose load is below aSlotFactor x slots.
   std::optional<ScoredEndpoint> BestEndpoint(const DispatchCall& aCall,
                                              double aSlotFactor,
@@ -416,8 +455,13 @@
   Placement Place(const ScoredEndpoint& aEndpoint,
                   const DispatchCall& aCall,
                   TimePoint aNow);
-  // Adds the part to the model of the endpoint's cache (LRU).
-  static void RecordCached(EndpointState& aState, const PromptPart& aPart);
+  // Adds the part to the model of the endpoint's cache. The least recently used
+  // parts are evicted; for adaptive services by the endpoint's cache memory
+  // too.
+  void RecordCached(EndpointState& aState, const PromptPart& aPart) const;
+  static void EvictLeastRecentlyUsed(EndpointState& aState);
+  // Weight of the next sample in an endpoint's latencyRatio.
+  double LatencyWeight(const EndpointState& aState) const;
   void UpdateLatency(EndpointState& aState,
                      const InFlightCall& aCall,
                      const AttemptOutcome& aOutcome);
--- a/dispatch/endpoint_choice.cc
+++ b/dispatch/endpoint_choice.cc
@@ -23,6 +23,13 @@
 // be prefix cache hits too.
 constexpr double kFullyCachedFraction = 0.9;
 
+// Rank of an endpoint for a group; the same on all hosts.
+uint64_t
+GroupRank(const std::string& aGroup, const std::string& aEndpoint)
+{
+  return StableHash(aGroup + "@" + aEndpoint);
+}
+
 int64_t
 AssumedCachedTokens(const PromptPart& aPart)
 {
@@ -70,7 +77,7 @@
   const auto rank = [this, &aGroup, meanLoad](const EndpointState* aState) {
     return std::make_tuple(this->FitsGroup(*aState, aGroup, meanLoad),
                            this->IsInOwnZone(*aState),
-                           StableHash(aGroup + "@" + aState->endpoint.id));
+                           GroupRank(aGroup, aState->endpoint.id));
   };
   const EndpointState* preferred = nullptr;
   for (const EndpointState* state : aStates) {
@@ -108,7 +115,8 @@
                            bool aIsPreferred,
                            TimePoint aNow) const
 {
-  double serviceMillis = this->RouteMillis(aCall.route) * aState.latencyRatio;
+  const double slowness = this->Slowness(aState, aNow);
+  double serviceMillis = this->RouteMillis(aCall.route) * slowness;
   if (!aCall.affinityKey.empty() &&
       aState.cachedIndex.count(aCall.affinityKey) > 0) {
     serviceMillis *= 1 - kAffinitySaving;
@@ -123,8 +131,8 @@
     static_cast<double>(UncachedTokens(aState, aCall, aIsPreferred));
   const double stalled =
     this->settings.prefillStallWeight * std::min(load, slots);
-  const double prefill =
-    uncached / this->settings.prefillTokensPerMilli * (1 + stalled);
+  const double prefill = uncached / this->settings.prefillTokensPerMilli *
+                         (1 + stalled) * (this->IsPaced(aState) ? slowness : 1);
   const double crossZone =
     this->IsInOwnZone(aState) ? 0 : this->settings.crossZoneMillis;
   return serviceMillis * slowdown + wait + prefill + crossZone;
@@ -189,6 +197,43 @@
   return sampled;
 }
 
+std::vector<Dispatcher::EndpointState*>
+Dispatcher::GroupEndpoints(const std::vector<EndpointState*>& aStates,
+                           const EndpointState* aPreferred,
+                           const std::string& aGroup) const
+{
+  std::vector<std::pair<uint64_t, EndpointState*>> ranked;
+  std::vector<EndpointState*> compared;
+  for (EndpointState* state : aStates) {
+    if (state == aPreferred) {
+      compared.push_back(state);
+    } else {
+      ranked.emplace_back(GroupRank(aGroup, state->endpoint.id), state);
+    }
+  }
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  ranked.resize(std::min(ranked.size(), this->settings.groupAlternates));
+  for (const auto& entry : ranked) {
+    compared.push_back(entry.second);
+  }
+  return compared;
+}
+
+std::vector<Dispatcher::EndpointState*>
+Dispatcher::ComparedEndpoints(const std::vector<EndpointState*>& aWithRoom,
+                              const EndpointState* aPreferred,
+                              const DispatchCall& aCall) const
+{
+  // Calls without a group would all be compared at the same few endpoints.
+  if (aCall.cacheGroup.empty() || !this->IsAdaptive(aCall.service)) {
+    return this->SampleEndpoints(aWithRoom, aPreferred, aCall.id);
+  }
+  return this->GroupEndpoints(aWithRoom, aPreferred, aCall.cacheGroup);
+}
+
 std::optional<Dispatcher::ScoredEndpoint>
 Dispatcher::BestEndpoint(const DispatchCall& aCall,
                          double aSlotFactor,
@@ -199,14 +244,15 @@
     this->PreferredEndpoint(candidates, aCall.cacheGroup, aNow);
   std::vector<EndpointState*> withRoom;
   for (EndpointState* state : candidates) {
-    const double room = std::max(1.0, aSlotFactor * this->Capacity(*state));
+    const double room =
+      std::max(1.0, aSlotFactor * this->PacedCapacity(*state, aNow));
     if (aNow >= state->heldUntil && this->TotalLoad(*state, aNow) < room) {
       withRoom.push_back(state);
     }
   }
   std::optional<ScoredEndpoint> best;
   for (EndpointState* state :
-       this->SampleEndpoints(withRoom, preferred, aCall.id)) {
+       this->ComparedEndpoints(withRoom, preferred, aCall)) {
     const double millis =
       this->EstimateMillis(*state, aCall, state == preferred, aNow);
     if (!best || millis < best->expectedMillis) {
@@ -217,20 +263,37 @@
 }
 
 void
-Dispatcher::RecordCached(EndpointState& aState, const PromptPart& aPart)
+Dispatcher::RecordCached(EndpointState& aState, const PromptPart& aPart) const
 {
   auto known = aState.cachedIndex.find(aPart.id);
   if (known != aState.cachedIndex.end()) {
     aState.cached.splice(aState.cached.begin(), aState.cached, known->second);
-    known->second->tokens = std::max(known->second->tokens, aPart.tokens);
-    return;
+    const int64_t tokens = std::max(known->second->tokens, aPart.tokens);
+    aState.cachedTokens += tokens - known->second->tokens;
+    known->second->tokens = tokens;
+  } else {
+    aState.cached.push_front({ aPart.id, aPart.tokens });
+    aState.cachedIndex[aPart.id] = aState.cached.begin();
+    aState.cachedTokens += aPart.tokens;
   }
-  aState.cached.push_front({ aPart.id, aPart.tokens });
-  aState.cachedIndex[aPart.id] = aState.cached.begin();
   if (aState.cached.size() > kMaxCachedParts) {
-    aState.cachedIndex.erase(aState.cached.back().id);
-    aState.cached.pop_back();
+    EvictLeastRecentlyUsed(aState);
+  }
+  const int64_t memory =
+    this->IsAdaptive(aState.service) ? aState.endpoint.cacheTokens : 0;
+  // The part itself stays: the endpoint holds what it runs.
+  while (memory > 0 && aState.cachedTokens > memory &&
+         aState.cached.size() > 1) {
+    EvictLeastRecentlyUsed(aState);
   }
 }
 
+void
+Dispatcher::EvictLeastRecentlyUsed(EndpointState& aState)
+{
+  aState.cachedTokens -= aState.cached.back().tokens;
+  aState.cachedIndex.erase(aState.cached.back().id);
+  aState.cached.pop_back();
+}
+
 } // namespace tanagerseam
