--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -39,7 +39,8 @@
 // can, since no stream began before.
 //
 // Bounds: kMaxStreams origins for kStreamMemory each; the oldest is forgotten
-// first. Deterministic: the time is an argument.
+// first. A version is forgotten kStreamMemory after it was last seen.
+// Deterministic: the time is an argument.
 #ifndef TANAGERSEAM_RESUMPTION_RESUMPTION_H_
 #define TANAGERSEAM_RESUMPTION_RESUMPTION_H_
 
@@ -147,8 +148,12 @@
   std::optional<std::string> SoleVersion(const std::string& aService,
                                          TimePoint aSince,
                                          TimePoint aNow) const;
+  // Number of versions that are remembered, of all services.
+  size_t Size() const;
 
 private:
+  void Forget(TimePoint aNow);
+
   // When each version was last seen, by service.
   std::map<std::string, std::map<std::string, TimePoint>> lastSeen;
   // Since when the registry has been read without a gap.
--- a/resumption/testing/resumption_test.cc
+++ b/resumption/testing/resumption_test.cc
@@ -129,6 +129,22 @@
   EXPECT_EQ(versions.SoleVersion("engines", later - longest, later), "v1");
 }
 
+// Guards against a history that grows with each version that was ever seen.
+TEST(VersionHistoryTest, ForgetsVersionsWhoseStreamsAreOver)
+{
+  const TimePoint start = BootNow();
+  VersionHistory versions;
+  for (int i = 0; i < 100; ++i) {
+    versions.See("engines", "v" + std::to_string(i), start);
+  }
+  versions.See("tools", "v1", start);
+  versions.Confirm(start + StreamOrigins::kStreamMemory);
+  EXPECT_EQ(versions.Size(), 101u);
+  versions.See("engines", "v7", start + Millis(1));
+  versions.Confirm(start + StreamOrigins::kStreamMemory + Millis(1));
+  EXPECT_EQ(versions.Size(), 1u);
+}
+
 // Pattern: many streams break off because their hosts die, and are taken up at
 // the hosts that are left.
 class StreamKeepersTest : public ::testing::TestWithParam<size_t>
--- a/resumption/version_history.cc
+++ b/resumption/version_history.cc
@@ -26,6 +26,32 @@
   }
   this->lastReadAt = aNow;
   this->confirmedAt = aNow;
+  this->Forget(aNow);
+}
+
+size_t
+VersionHistory::Size() const
+{
+  size_t size = 0;
+  for (const auto& entry : this->lastSeen) {
+    size += entry.second.size();
+  }
+  return size;
+}
+
+void
+VersionHistory::Forget(TimePoint aNow)
+{
+  for (auto service = this->lastSeen.begin();
+       service != this->lastSeen.end();) {
+    auto& versions = service->second;
+    for (auto it = versions.begin(); it != versions.end();) {
+      const bool old = aNow - it->second > StreamOrigins::kStreamMemory;
+      it = old ? versions.erase(it) : std::next(it);
+    }
+    service =
+      versions.empty() ? this->lastSeen.erase(service) : std::next(service);
+  }
 }
 
 bool
