fleet: ask a peer to append a record to the store's log

A host that can't reach the store's log has no way to write the record of a turn whose answer it has received whole, so the stream ends as broken.

FleetLink::AppendRecord asks a peer by the existing tables AppendRecord and RecordAppended. A repeated request is passed to the handler once and gets the first answer. Records of more than 59 KiB are not sent. The request is retransmitted after 40 ms, with doubled intervals, since its datagram is up to 60 KiB and an append takes longer than the 12 ms of other requests. Requests now end at their deadline instead of at the next retransmission after it.

Ids of requests begin at a random number for each incarnation: the late answer to a former process's request would acknowledge another record of the new one.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -1,6 +1,6 @@
 // Messages between the hosts of the fleet: periodic load reports, reservations
-// of tokens from a program's budget, calls on an organisation's quota, and
-// where event streams began.
+// of tokens from a program's budget, calls on an organisation's quota, where
+// event streams began, and records that a peer appends to the store's log.
 //
 //   FleetLink link(io, { "host-1", startTime, "10.0.0.1", 7780 });
 //   link.SetHandlers(handlers);
@@ -11,6 +11,7 @@
 //   link.AcquireQuota("host-2", OrganisationHash("ski-club"), wait, done);
 //   link.TellStreamBegan("host-2", stream, { "engines", "v1.2" });
 //   link.FindStream("host-2", stream, wait, done);
+//   link.AppendRecord("host-2", { { "turns-3", 7 }, record }, wait, done);
 //
 // Each message is a FlatBuffer in one UDP datagram, so there is no connection
 // that could stall. A lost report is superseded by the next one. A request is
@@ -28,6 +29,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -39,6 +41,7 @@
 #include "kernel/kernel.h"
 #include "quarantine/quarantine.h"
 #include "quota/quota.h"
+#include "recordlog/recordlog.h"
 #include "resumption/resumption.h"
 #include "zones/zones.h"
 
@@ -133,6 +136,39 @@
   std::optional<StreamOrigin> origin;
 };
 
+// A record that one host asks another to append to the store's log.
+struct PeerRecord
+{
+  LogPartition partition;
+  std::string data;
+};
+
+// How a peer's append ended.
+enum class PeerAppendStatus
+{
+  kAppended,
+  // The store did not answer the peer; the record may have been appended.
+  kNoAnswer,
+  // As in LogFault.
+  kUnavailable,
+  kFull,
+  kRejected,
+  // The peer appends as many records for others as it may.
+  kBusy,
+  // No answer of the peer in time; the record may have been appended.
+  kPeerSilent,
+};
+
+std::string_view
+NameOf(PeerAppendStatus aStatus);
+
+struct PeerAppendAnswer
+{
+  PeerAppendStatus status = PeerAppendStatus::kPeerSilent;
+  // Of the record; set if the status is kAppended.
+  int64_t offset = 0;
+};
+
 // Handlers for the messages of peers.
 struct FleetHandlers
 {
@@ -153,6 +189,9 @@
   std::function<void(uint64_t aStream, const StreamOrigin&)> onStreamBegan;
   // Where the stream began; null if this host does not know it.
   std::function<const StreamOrigin*(uint64_t aStream)> onFindStream;
+  // Responds by calling the given function once.
+  std::function<void(const PeerRecord&, std::function<void(PeerAppendAnswer)>)>
+    onAppendRecord;
 };
 
 struct FleetLinkSettings
@@ -181,6 +220,13 @@
   static constexpr Millis kRetransmitInterval{ 12 };
   // Transmissions of a settlement until it is given up.
   static constexpr int kMaxSettleAttempts = 8;
+  // Largest record that AppendRecord sends: a datagram of 60 KiB, less the
+  // names of the host and the topic.
+  static constexpr size_t kMaxRecordBytes = 59u << 10;
+  // As kRetransmitInterval, doubled after each transmission. An append takes
+  // several milliseconds and its datagram is up to 60 KiB, so the short
+  // interval would send most records several times.
+  static constexpr Millis kRecordRetransmitInterval{ 40 };
 
   // Time between two reports of a host to the same one of its peers.
   static constexpr Millis ReportPeriod(size_t aPeers)
@@ -223,6 +269,16 @@
                   uint64_t aStream,
                   Millis aWait,
                   std::function<void(const StreamAnswer&)> aDone);
+  // Asks aHost to append a record to the store's log, and returns the id of the
+  // request. The status is kPeerSilent after aWait, for a host that is not a
+  // peer, and for a record of more than kMaxRecordBytes.
+  uint64_t AppendRecord(const std::string& aHost,
+                        const PeerRecord& aRecord,
+                        Millis aWait,
+                        std::function<void(const PeerAppendAnswer&)> aDone);
+  // Stops retransmitting the request; its aDone will not be called. The record
+  // may be appended nevertheless.
+  void CancelAppend(uint64_t aRequest);
   bool IsPeer(const std::string& aHost) const;
 
 private:
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <random>
 
+#include "fleet/append_wire.h"
 #include "fleet/fleet.h"
 #include "fleet/fleet_wire_generated.h"
 #include "fleet/peer_requests.h"
@@ -19,6 +21,15 @@
 constexpr Millis kIncarnationTimeout(700);
 constexpr size_t kMaxDatagram = 60u << 10;
 
+// The ids of an incarnation's requests begin at random, so that a late answer
+// to its predecessor, which had the same address, is not taken for an answer to
+// one of its own.
+uint64_t
+DrawFirstRequestId()
+{
+  return (static_cast<uint64_t>(std::random_device{}()) << 32) + 1;
+}
+
 } // namespace
 
 struct FleetLink::Impl
@@ -39,6 +50,9 @@
     std::string datagram;
     TimePoint deadline{};
     int attemptsLeft = 0;
+    // Until the next transmission; multiplied by `backoff` after each one.
+    Millis interval = kRetransmitInterval;
+    int backoff = 1;
     asio::steady_timer timer;
     ResponseHandler done;
   };
@@ -80,10 +94,10 @@
 
   // Sends a request whose response is of use for aWait.
   template<typename Table>
-  void Request(const std::string& aHost,
-               const Table& aTable,
-               Millis aWait,
-               ResponseHandler aDone)
+  PendingRequest& Request(const std::string& aHost,
+                          const Table& aTable,
+                          Millis aWait,
+                          ResponseHandler aDone)
   {
     auto pending = std::make_unique<PendingRequest>(this->io);
     pending->host = aHost;
@@ -93,8 +107,10 @@
       static_cast<int>(aWait.count() / kRetransmitInterval.count()) + 1;
     pending->done = std::move(aDone);
     const uint64_t id = aTable.request;
+    PendingRequest& request = *pending;
     this->pendingRequests[id] = std::move(pending);
     asio::post(this->io, [this, id] { this->Transmit(id); });
+    return request;
   }
 
   // Sends a request, and retransmits it until its response arrives, its
@@ -115,7 +131,10 @@
     }
     --pending.attemptsLeft;
     this->SendTo(peer->second, pending.datagram);
-    pending.timer.expires_after(kRetransmitInterval);
+    const TimePoint now = BootNow();
+    pending.timer.expires_after(
+      std::min(now + pending.interval, pending.deadline) - now);
+    pending.interval *= pending.backoff;
     pending.timer.async_wait([this, aId](const auto& aError) {
       if (!aError) {
         this->Transmit(aId);
@@ -194,6 +213,12 @@
       case fleetwire::Body::StreamFound:
         this->Complete(datagram.body.AsStreamFound()->request, &datagram);
         break;
+      case fleetwire::Body::AppendRecord:
+        this->HandleAppendRecord(datagram);
+        break;
+      case fleetwire::Body::RecordAppended:
+        this->Complete(datagram.body.AsRecordAppended()->request, &datagram);
+        break;
       default:
         LogWarn("peer_message_unknown", { { "from", datagram.host } });
     }
@@ -333,6 +358,16 @@
     this->SendTo(this->sender, this->Encode(response));
   }
 
+  void HandleAppendRecord(const fleetwire::DatagramT& aDatagram)
+  {
+    AnswerAppend(this->RequestsOf(aDatagram),
+                 *aDatagram.body.AsAppendRecord(),
+                 this->handlers,
+                 [this, from = this->sender](const auto& aAnswer) {
+                   this->SendTo(from, this->Encode(aAnswer));
+                 });
+  }
+
   void OnReserved(const std::string& aHost,
                   uint64_t aId,
                   const TokenRequest& aRequest,
@@ -382,7 +417,7 @@
   std::map<std::string, asio::ip::udp::endpoint> peers;
   std::string lastReportedPeer;
   uint64_t sequence = 0;
-  uint64_t nextRequestId = 1;
+  uint64_t nextRequestId = DrawFirstRequestId();
   std::unordered_map<std::string, LastReport> lastReports;
   std::unordered_map<std::string, PeerRequests> peerRequests;
   std::unordered_map<uint64_t, std::unique_ptr<PendingRequest>> pendingRequests;
@@ -500,6 +535,33 @@
     });
 }
 
+uint64_t
+FleetLink::AppendRecord(const std::string& aHost,
+                        const PeerRecord& aRecord,
+                        Millis aWait,
+                        std::function<void(const PeerAppendAnswer&)> aDone)
+{
+  const uint64_t id = this->impl->nextRequestId++;
+  const bool sendable = aRecord.data.size() <= kMaxRecordBytes;
+  const Millis wait = sendable ? aWait : Millis(0);
+  Impl::PendingRequest& pending = this->impl->Request(
+    aHost,
+    AppendToWire(id, aRecord),
+    wait,
+    [aHost, done = std::move(aDone)](const fleetwire::DatagramT* aResponse) {
+      done(AppendAnswerOf(aHost, aResponse));
+    });
+  pending.interval = kRecordRetransmitInterval;
+  pending.backoff = 2;
+  return id;
+}
+
+void
+FleetLink::CancelAppend(uint64_t aRequest)
+{
+  this->impl->pendingRequests.erase(aRequest);
+}
+
 uint64_t
 FleetLink::Reserve(const std::string& aHost,
                    const TokenRequest& aRequest,
--- a/fleet/peer_requests.h
+++ b/fleet/peer_requests.h
@@ -11,7 +11,7 @@
 
 namespace tanagerseam {
 
-// A reservation or a call on a quota that a peer has requested.
+// A reservation, a call on a quota or an append that a peer has requested.
 struct PeerRequest
 {
   bool IsReserved() const
@@ -19,13 +19,15 @@
     return this->response && this->response->status == ReserveStatus::kReserved;
   }
 
-  // Empty for a call on a quota.
+  // Empty for a call on a quota and for an append.
   TokenRequest request;
   // Empty until onReserve has responded.
   std::optional<ReserveResponse> response;
   // The reservation has ended, or there is none.
   bool settled = false;
   TimePoint receivedAt{};
+  // Empty until onAppendRecord has responded.
+  std::optional<PeerAppendAnswer> appendAnswer;
 };
 
 struct PeerRequests
