--- a/program/history_service.cc
+++ b/program/history_service.cc
@@ -182,41 +182,93 @@
              });
 }
 
-void
-HistoryService::Store(CompletedTurn aTurn,
-                      Transcript aPrior,
-                      TimePoint aDeadline,
-                      std::function<void(bool)> aDone)
+std::string
+HistoryService::Encode(const TurnRecord& aTurn)
 {
-  const std::string turnText = aTurn.input + aTurn.output;
-  auto transcript =
-    std::make_shared<const std::string>(aPrior ? *aPrior + turnText : turnText);
-  const bool inlinesPrior = !aPrior || transcript->size() <= kMaxInlineBytes;
-  const std::string& text = inlinesPrior ? *transcript : turnText;
   const nlohmann::json fields = {
     { "id", aTurn.id },
     { "organisation", aTurn.organisation },
-    { "previous", inlinesPrior ? "" : aTurn.previous },
+    { "previous", aTurn.previous },
     { "text",
       nlohmann::json::binary(
-        std::vector<std::uint8_t>(text.begin(), text.end())) },
+        std::vector<std::uint8_t>(aTurn.text.begin(), aTurn.text.end())) },
   };
   const auto bytes = nlohmann::json::to_cbor(fields);
-  this->log.Append(CandidatePartitions(this->settings.turns, aTurn.id),
-                   std::string(bytes.begin(), bytes.end()),
-                   aDeadline,
-                   [this,
-                    id = aTurn.id,
-                    organisation = aTurn.organisation,
-                    transcript,
-                    done = std::move(aDone)](const AppendResult& aResult) {
-                     const bool stored =
-                       std::holds_alternative<Appended>(aResult);
-                     if (stored) {
-                       this->AddToCache(id, organisation, transcript);
-                     }
-                     done(stored);
-                   });
+  return std::string(bytes.begin(), bytes.end());
+}
+
+bool
+HistoryService::IsTurnRecord(const LogPartition& aPartition,
+                             const std::string& aRecord) const
+{
+  const auto turn = Parse(aRecord);
+  if (!turn) {
+    return false;
+  }
+  for (const LogPartition& candidate :
+       CandidatePartitions(this->settings.turns, turn->id)) {
+    if (!(candidate < aPartition) && !(aPartition < candidate)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+HistoryService::Store(CompletedTurn aTurn,
+                      Transcript aPrior,
+                      TimePoint aDeadline,
+                      std::function<void(bool)> aDone)
+{
+  this->Store(
+    std::move(aTurn),
+    std::move(aPrior),
+    aDeadline,
+    [this](TurnWrite aWrite, auto aWritten) {
+      this->log.Append(std::move(aWrite.partitions),
+                       std::move(aWrite.record),
+                       aWrite.deadline,
+                       std::move(aWritten));
+    },
+    std::move(aDone));
+}
+
+void
+HistoryService::Store(CompletedTurn aTurn,
+                      Transcript aPrior,
+                      TimePoint aDeadline,
+                      const WriteTurn& aWrite,
+                      std::function<void(bool)> aDone)
+{
+  TurnRecord shortForm{ aTurn.id,
+                        aTurn.organisation,
+                        aPrior ? aTurn.previous : "",
+                        aTurn.input + aTurn.output };
+  auto transcript = std::make_shared<const std::string>(
+    aPrior ? *aPrior + shortForm.text : shortForm.text);
+  const bool inlinesPrior = aPrior && transcript->size() <= kMaxInlineBytes;
+  TurnWrite write;
+  write.turn = aTurn.id;
+  write.partitions = CandidatePartitions(this->settings.turns, aTurn.id);
+  write.record = inlinesPrior
+                   ? Encode({ aTurn.id, aTurn.organisation, "", *transcript })
+                   : Encode(shortForm);
+  write.shortRecord = [shortForm = std::move(shortForm)] {
+    return Encode(shortForm);
+  };
+  write.deadline = aDeadline;
+  aWrite(std::move(write),
+         [this,
+          id = aTurn.id,
+          organisation = aTurn.organisation,
+          transcript,
+          done = std::move(aDone)](const AppendResult& aResult) {
+           const bool stored = std::holds_alternative<Appended>(aResult);
+           if (stored) {
+             this->AddToCache(id, organisation, transcript);
+           }
+           done(stored);
+         });
 }
 
 } // namespace tanagerseam
--- a/program/program.h
+++ b/program/program.h
@@ -9,6 +9,7 @@
 //   history.Find("club", "turn-7", deadline,
 //                [](const HistoryResult& aFound) { ... });
 //   history.Store(turn, prior, deadline, [](bool aStored) { ... });
+//   history.Store(turn, prior, deadline, write, done);
 //
 // Both services write their durable state to a RecordLog, spread over many
 // partitions, and keep only a cache in memory. A host that restarts or takes
@@ -28,7 +29,8 @@
 // History. A turn is a record in the partition of its id, or in one of two
 // fallback partitions if that one can't be written. The record contains the
 // text of all earlier turns while the transcript is at most kMaxInlineBytes,
-// and the id of the previous turn otherwise.
+// and the id of the previous turn otherwise. A record may be written in both
+// forms, both under the turn's id: they lead to the same transcript.
 // Invariant: a turn whose Store succeeded is found by every later Find that
 // can read the log.
 //
@@ -258,6 +260,23 @@
   std::string output;
 };
 
+// The record of a turn, to be written to the log.
+struct TurnWrite
+{
+  // Id of the turn.
+  std::string turn;
+  // The record goes to one of these; the first is preferred.
+  std::vector<LogPartition> partitions;
+  std::string record;
+  // The record without the text of earlier turns.
+  std::function<std::string()> shortRecord;
+  TimePoint deadline{};
+};
+
+// Writes the record of a turn and calls the function once.
+using WriteTurn =
+  std::function<void(TurnWrite, std::function<void(const AppendResult&)>)>;
+
 enum class HistoryMiss
 {
   // The turn does not exist or belongs to another organisation.
@@ -291,6 +310,15 @@
              Transcript aPrior,
              TimePoint aDeadline,
              std::function<void(bool)> aDone);
+  // The same, but the record is written by aWrite.
+  void Store(CompletedTurn aTurn,
+             Transcript aPrior,
+             TimePoint aDeadline,
+             const WriteTurn& aWrite,
+             std::function<void(bool)> aDone);
+  // True for a record of a turn in one of the partitions of its id.
+  bool IsTurnRecord(const LogPartition& aPartition,
+                    const std::string& aRecord) const;
   size_t CachedBytes() const { return this->cachedBytes; }
 
 private:
@@ -317,6 +345,7 @@
                   const std::string& aOrganisation,
                   Transcript aTranscript);
   static std::optional<TurnRecord> Parse(const std::string& aData);
+  static std::string Encode(const TurnRecord& aTurn);
 
   RetryingLog& log;
   ProgramSettings settings;
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -27,7 +27,9 @@
   std::string record;
   TimePoint deadline;
   std::function<void(const AppendResult&)> done;
+  std::function<bool()> isWanted;
   int attempts = 0;
+  LogFault lastFault = LogFault::kNoAnswer;
 };
 
 struct RetryingLog::ReadTask
@@ -52,16 +54,39 @@
 RetryingLog::Append(std::vector<LogPartition> aPartitions,
                     std::string aRecord,
                     TimePoint aDeadline,
-                    std::function<void(const AppendResult&)> aDone)
+                    std::function<void(const AppendResult&)> aDone,
+                    std::function<bool()> aIsWanted)
 {
   auto task = std::make_shared<AppendTask>();
   task->partitions = std::move(aPartitions);
   task->record = std::move(aRecord);
   task->deadline = aDeadline;
   task->done = std::move(aDone);
+  task->isWanted = std::move(aIsWanted);
   this->AttemptAppend(task);
 }
 
+void
+RetryingLog::AppendOnce(const LogPartition& aPartition,
+                        std::string aRecord,
+                        Millis aTimeout,
+                        std::function<void(const AppendResult&)> aDone)
+{
+  const TimePoint sentAt = BootNow();
+  this->log.Append(
+    aPartition,
+    std::move(aRecord),
+    aTimeout,
+    [this, sentAt, done = std::move(aDone)](const AppendResult& aResult) {
+      if (std::holds_alternative<Appended>(aResult)) {
+        this->OnSuccess(sentAt);
+      } else {
+        this->OnFailure();
+      }
+      done(aResult);
+    });
+}
+
 void
 RetryingLog::ReadAll(const LogPartition& aPartition,
                      int64_t aFrom,
@@ -143,6 +168,10 @@
 void
 RetryingLog::AttemptAppend(const std::shared_ptr<AppendTask>& aTask)
 {
+  if (aTask->isWanted && !aTask->isWanted()) {
+    aTask->done(aTask->lastFault);
+    return;
+  }
   const TimePoint sentAt = BootNow();
   const size_t count = aTask->partitions.size();
   const size_t next = static_cast<size_t>(aTask->attempts) % count;
@@ -159,6 +188,7 @@
       }
       this->OnFailure();
       ++aTask->attempts;
+      aTask->lastFault = *fault;
       if (*fault == LogFault::kRejected || BootNow() >= aTask->deadline) {
         aTask->done(aResult);
         return;
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -26,11 +26,18 @@
   // aDone receives the last fault if aDeadline (on BootNow's clock) passes
   // first, and kRejected at once. Attempts rotate through aPartitions: the
   // record goes to the first that accepts it, or to several if acknowledgements
-  // are lost.
+  // are lost. No attempt is made after aIsWanted, if given, has turned false;
+  // aDone receives the fault of the attempt before.
   void Append(std::vector<LogPartition> aPartitions,
               std::string aRecord,
               TimePoint aDeadline,
-              std::function<void(const AppendResult&)> aDone);
+              std::function<void(const AppendResult&)> aDone,
+              std::function<bool()> aIsWanted = nullptr);
+  // A single attempt. For a caller that is itself asked again.
+  void AppendOnce(const LogPartition& aPartition,
+                  std::string aRecord,
+                  Millis aTimeout,
+                  std::function<void(const AppendResult&)> aDone);
   // Reads all records from aFrom to the end offset of the first response. A
   // page without records before that offset is read again.
   void ReadAll(const LogPartition& aPartition,
