gateway: setting record_relay, on where contention is

FleetRecordPeers names the peers to ask: those whose reports say that they reach the store and that lie in the regions of the call, those of other zones first. A turn of a gateway with the setting hands its record to them; all gateways serve what peers ask.

GatewayRecordRelayTest goes through two gateways with sockets: the turn of a host that loses its log ends whole and is continued at the other host; it does not with the setting off, nor where the peer is outside the call's regions.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -143,6 +143,7 @@
     settings.coldSlack = aSettings.coldSlack;
     settings.placement = aSettings.placement;
     settings.contention = aSettings.contention;
+    settings.recordRelay = RelaysRecords(aSettings);
     settings.regions = ZoneRegions(aSettings.regionByZone);
     settings.logPartitions = aSettings.storePartitions;
     return settings;
--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -118,6 +118,9 @@
   aSettings.coldSlack = ReadColdSlack(aReader);
   aSettings.placement = ReadPlacement(aReader);
   aSettings.contention = aReader.Flag("contention", aSettings.contention);
+  if (aReader.Has("record_relay")) {
+    aSettings.recordRelay = aReader.Flag("record_relay", false);
+  }
 }
 
 void
--- a/daemon/gateway_settings.h
+++ b/daemon/gateway_settings.h
@@ -4,6 +4,7 @@
 #define TANAGERSEAM_DAEMON_GATEWAY_SETTINGS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "dispatch/dispatch.h"
@@ -34,6 +35,8 @@
   // See DispatchSettings.
   PlacementMode placement = PlacementMode::kAuto;
   bool contention = false;
+  // See GatewaySettings; as `contention` if the file does not set it.
+  std::optional<bool> recordRelay;
   // The region of each zone; empty where regions play no part.
   std::map<std::string, std::string> regionByZone;
   // Time from SIGTERM until the platform kills the process.
@@ -45,6 +48,13 @@
   int storePartitions = 12;
 };
 
+// Whether records are handed to peers.
+inline bool
+RelaysRecords(const GatewayProcessSettings& aSettings)
+{
+  return aSettings.recordRelay.value_or(aSettings.contention);
+}
+
 // True if the file has a section [gateway].
 bool
 HasGatewaySection(const std::string& aPath);
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -47,9 +47,15 @@
   turn.previous = this->call.program ? this->call.program->previousTurn : "";
   turn.input = this->call.body;
   turn.output = this->turnOutput.Text();
+  const WriteTurn write = [&relay = this->state.recordRelay,
+                           allowed = this->AllowedRegions()](
+                            TurnWrite aWrite, RecordRelay::Callback aDone) {
+    relay.Append(std::move(aWrite), allowed, std::move(aDone));
+  };
   this->state.history.Store(std::move(turn),
                             this->priorTranscript,
                             this->deadline,
+                            write,
                             [self = this->shared_from_this()](bool aPersisted) {
                               if (self->ended) {
                                 return;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -208,6 +208,11 @@
   handlers.onFindStream = [self](uint64_t aStream) {
     return self->state.streamOrigins.FindForPeer(aStream);
   };
+  handlers.onAppendRecord =
+    [self](const PeerRecord& aRecord,
+           std::function<void(PeerAppendAnswer)> aDone) {
+      self->state.recordRelay.AppendForPeer(aRecord, std::move(aDone));
+    };
   this->impl->state.dependencies.link.SetHandlers(std::move(handlers));
   this->impl->Tick();
   this->impl->PublishReport();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,12 +25,13 @@
 //  - a response that says the call did not execute is sent only if no endpoint
 //    can still execute it;
 //  - a turn of a route that keeps history is in the record log before the
-//    client sees the end of its stream;
+//    client sees the end of its stream; a record that this host can't write is
+//    written by a peer if `recordRelay` is set, see record_relay.h;
 //  - a resumed stream goes on at the software version that began it;
 //  - the budget tokens of a turn are reserved before it is sent;
 //  - an endpoint of an evacuated zone gets no call, and a cold endpoint no more
 //    from all hosts than its service says;
-//  - a call reaches no endpoint, and its body no peer, outside the regions that
+//  - a call reaches no endpoint, and its text no peer, outside the regions that
 //    its route and its organisation both allow;
 //  - API keys are accepted only while the catalog was confirmed within
 //    `keyFreshness`.
@@ -78,6 +79,8 @@
   // See DispatchSettings.
   PlacementMode placement = PlacementMode::kAuto;
   bool contention = false;
+  // Records of turns that this host can't write are handed to a peer.
+  bool recordRelay = false;
   // Tolerated use beyond the rate of cold endpoints.
   QuotaSlack coldSlack{ Millis(1000), 0, 0 };
   // Memory of all responses that are being received: gathered bodies, outputs
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -42,6 +42,19 @@
   return settings;
 }
 
+RecordRelaySettings
+MakeRelaySettings(const GatewaySettings& aSettings,
+                  const HistoryService& aHistory)
+{
+  RecordRelaySettings settings;
+  settings.asksPeers = aSettings.recordRelay;
+  settings.accepts = [&aHistory](const LogPartition& aPartition,
+                                 const std::string& aRecord) {
+    return aHistory.IsTurnRecord(aPartition, aRecord);
+  };
+  return settings;
+}
+
 } // namespace
 
 GatewayState::GatewayState(GatewaySettings aSettings,
@@ -73,6 +86,12 @@
                   return this->quota.AdmitProgram(aOrganisation, BootNow());
                 })
   , history(this->persistentLog, MakeProgramSettings(this->settings))
+  , recordPeers(this->settings, aDependencies.link, this->peers, this->members)
+  , recordRelay(aDependencies.io,
+                this->persistentLog,
+                this->recordPeers,
+                MakeRelaySettings(this->settings, this->history),
+                aDependencies.metrics)
   , random(std::random_device{}())
 {
 }
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -12,9 +12,11 @@
 #include "coldstart/coldstart.h"
 #include "fleet/member_table.h"
 #include "gateway/connection_policy.h"
+#include "gateway/fleet_record_peers.h"
 #include "gateway/gateway.h"
 #include "gateway/peer_table.h"
 #include "gateway/quota_client.h"
+#include "gateway/record_relay.h"
 #include "gateway/response_relay.h"
 #include "gateway/stream_origin_client.h"
 #include "gateway/turn_budgets.h"
@@ -122,6 +124,8 @@
   ConnectionPolicy connections;
   CallQuarantine quarantine;
   MemberTable members;
+  FleetRecordPeers recordPeers;
+  RecordRelay recordRelay;
   // Calls in the dispatcher, queued or placed, by dispatch id.
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
   uint64_t nextDispatchId = 1;
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -35,10 +35,11 @@
   GatewayHost(restinio::asio_ns::io_context& aIo,
               RecordLog& aLog,
               const std::string& aName,
-              size_t aMaxResponseBytes = GatewaySettings{}.maxResponseBytes)
+              size_t aMaxResponseBytes = GatewaySettings{}.maxResponseBytes,
+              bool aRecordRelay = false)
     : client(aIo, EventClientSettings{})
     , link(aIo, { aName, 1, "127.0.0.1", this->linkPort })
-    , gateway(MakeSettings(aName, this->port, aMaxResponseBytes),
+    , gateway(MakeSettings(aName, this->port, aMaxResponseBytes, aRecordRelay),
               GatewayDependencies{ aIo, client, dialect, aLog, link, metrics })
   {
     EventServerSettings settings;
@@ -56,7 +57,8 @@
 
   static GatewaySettings MakeSettings(const std::string& aName,
                                       uint16_t aPort,
-                                      size_t aMaxResponseBytes)
+                                      size_t aMaxResponseBytes,
+                                      bool aRecordRelay)
   {
     GatewaySettings settings;
     settings.host = aName;
@@ -68,6 +70,7 @@
     settings.startTime = 1;
     settings.freshStart = true;
     settings.maxResponseBytes = aMaxResponseBytes;
+    settings.recordRelay = aRecordRelay;
     return settings;
   }
 
