--- a/gateway/record_relay.cc
+++ b/gateway/record_relay.cc
@@ -209,6 +209,8 @@
   }
   aTask->stoppedBy = aCause;
   aTask->timer.cancel();
+  aTask->shortRecord.clear();
+  aTask->makeShortRecord = nullptr;
   LogInfo("record_not_relayed",
           { { "request", aTask->turn },
             { "why", aCause },
--- a/gateway/record_relay.h
+++ b/gateway/record_relay.h
@@ -65,7 +65,8 @@
   // tries once: while the store is slow, retries on four hosts would write each
   // record up to twenty times.
   static constexpr Millis kMaxAppendTime{ 2000 };
-  // Each holds a record of up to 60 KiB, so either takes 4 MB at most.
+  // Each holds a copy of a record of up to 59 KiB, so either takes 4 MB at
+  // most.
   static constexpr size_t kMaxRequests = 64;
   static constexpr size_t kMaxAppendsForPeers = 64;
 
