--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -213,6 +213,11 @@
       "tanagerseam_peer_messages_skipped_total",
       { { "reason", std::string(NameOf(aReason)) } });
   };
+  handlers.onAppendRecord =
+    [self](const PeerRecord& aRecord,
+           std::function<void(PeerAppendAnswer)> aDone) {
+      self->state.recordRelay.AppendForPeer(aRecord, std::move(aDone));
+    };
   this->impl->state.dependencies.link.SetHandlers(std::move(handlers));
   this->impl->Tick();
   this->impl->PublishReport();
