soak: evacuated zones, and a judge that sees calls that reach them

Cause: the soak had one zone and no evacuation, so nothing showed with real processes, killed and cut off, that a zone is left alone 5 s after its record.

Change: - Hosts and endpoints lie in two zones.

--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -31,6 +31,9 @@
 constexpr double kMaxCallsPerSecond = 10;
 // Fraction of requests that endpoints refuse during kEndpointErrors.
 constexpr double kRefusedFraction = 0.1;
+constexpr Millis kMinEvacuation = SoakChecker::kEvacuationLimit + Millis(2000);
+constexpr Millis kMaxEvacuation = SoakChecker::kEvacuationLimit + Millis(6000);
+constexpr const char* kZones[] = { "zone-a", "zone-b" };
 
 struct SoakFaultName
 {
@@ -57,6 +60,7 @@
   { SoakFault::kDrainEndpoint, "drain_endpoint" },
   { SoakFault::kChangeConfiguration, "change_configuration" },
   { SoakFault::kWithdrawKey, "withdraw_key" },
+  { SoakFault::kEvacuateZone, "evacuate_zone" },
 };
 
 struct ResponseFaultSource
@@ -88,6 +92,12 @@
   return { asio::ip::make_address("127.0.0.1"), aPort };
 }
 
+const char*
+ZoneOf(size_t aIndex)
+{
+  return kZones[aIndex % std::size(kZones)];
+}
+
 uint16_t
 PortOf(const std::string& aAddress)
 {
@@ -172,11 +182,13 @@
       this->io,
       standin::LinkSettings{
         "store", Loopback(linkPort), Loopback(storePort) });
-    host.gateway = std::make_unique<GatewayHost>(
-      testing_support::GatewayHostSettings{ this->settings.folder,
-                                            "host-" + std::to_string(i),
-                                            LoopbackAddress(linkPort),
-                                            this->settings.keyFreshness });
+    testing_support::GatewayHostSettings gateway;
+    gateway.folder = this->settings.folder;
+    gateway.name = "host-" + std::to_string(i);
+    gateway.zone = ZoneOf(i);
+    gateway.storeAddress = LoopbackAddress(linkPort);
+    gateway.keyFreshness = this->settings.keyFreshness;
+    host.gateway = std::make_unique<GatewayHost>(gateway);
     host.gateway->Start();
     host.expectedToRun = true;
     this->hosts.push_back(std::move(host));
@@ -186,11 +198,14 @@
 SoakFleet::Endpoint
 SoakFleet::MakeEndpoint(const std::string& aId,
                         const std::string& aService,
+                        const std::string& aZone,
                         bool aLinked)
 {
   Endpoint endpoint;
   endpoint.id = aId;
   endpoint.service = aService;
+  endpoint.zone = aZone;
+  this->checker.OnEndpointAdded(aId, aZone);
   endpoint.server = std::make_unique<RawEndpoint>(
     this->io, [this, aId, aLinked](const std::string& aRequest) {
       return this->HandleRequest(aId, aRequest, aLinked);
@@ -210,8 +225,8 @@
 SoakFleet::AddEndpoints(const std::string& aService)
 {
   for (size_t i = 0; i < this->settings.endpointsPerService; ++i) {
-    this->endpoints.push_back(
-      this->MakeEndpoint(aService + "-" + std::to_string(i), aService, true));
+    this->endpoints.push_back(this->MakeEndpoint(
+      aService + "-" + std::to_string(i), aService, ZoneOf(i), true));
     this->RegisterEndpoint(this->endpoints.back(), "ready");
   }
 }
@@ -220,7 +235,7 @@
 SoakFleet::AddUnlinkedEndpoint(const std::string& aService)
 {
   this->unlinkedEndpoints.push_back(
-    this->MakeEndpoint(aService + "-unlinked", aService, false));
+    this->MakeEndpoint(aService + "-unlinked", aService, ZoneOf(0), false));
   this->RegisterEndpoint(this->unlinkedEndpoints.back(), "ready");
 }
 
@@ -231,9 +246,10 @@
   const std::string address =
     aEndpoint.link ? LoopbackAddress(aEndpoint.link->Settings().listen.port())
                    : aEndpoint.server->Address();
-  this->store.PutKeyed("keyed.servers",
-                       aEndpoint.id,
-                       EndpointJson(aEndpoint.service, address, aState));
+  this->store.PutKeyed(
+    "keyed.servers",
+    aEndpoint.id,
+    EndpointJson(aEndpoint.service, address, aState, "v1", aEndpoint.zone));
 }
 
 void
@@ -246,6 +262,29 @@
       ++this->configVersion, { this->settings.club, this->settings.market }));
 }
 
+void
+SoakFleet::EvacuateZone(TimePoint aNow)
+{
+  if (!this->evacuatedZone.empty()) {
+    return;
+  }
+  std::vector<std::string> zones(std::begin(kZones), std::end(kZones));
+  this->evacuatedZone = this->PickRandom(zones);
+  this->evacuationEndsAt =
+    aNow + this->DrawDuration(kMinEvacuation, kMaxEvacuation);
+  this->store.PutKeyed("keyed.op", "evacuate/" + this->evacuatedZone, "{}");
+  this->checker.OnZoneEvacuated(this->evacuatedZone, aNow);
+}
+
+void
+SoakFleet::EndEvacuation(TimePoint aNow)
+{
+  this->checker.OnEvacuationEnded(this->evacuatedZone, aNow);
+  this->store.PutKeyed("keyed.op", "evacuate/" + this->evacuatedZone, "");
+  this->evacuatedZone.clear();
+  this->evacuationEndsAt = TimePoint{};
+}
+
 std::string
 SoakFleet::CurrentKey(const std::string& aOrganisation) const
 {
@@ -444,6 +483,9 @@
       this->checker.OnKeyWithdrawn(withdrawnKey, aNow);
       break;
     }
+    case SoakFault::kEvacuateZone:
+      this->EvacuateZone(aNow);
+      break;
   }
 }
 
@@ -505,6 +547,9 @@
     this->store.SetFault(StoreFault::kNone);
     this->storeRestoreAt = TimePoint{};
   }
+  if (this->evacuationEndsAt != TimePoint{} && aNow >= this->evacuationEndsAt) {
+    this->EndEvacuation(aNow);
+  }
 }
 
 void
@@ -523,6 +568,7 @@
     makeDue(endpoint.drainEndsAt);
   }
   makeDue(this->storeRestoreAt);
+  makeDue(this->evacuationEndsAt);
   this->responseFaultsEndAt.clear();
   this->Step(aNow);
 }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -53,6 +53,9 @@
   kDrainEndpoint,
   kChangeConfiguration,
   kWithdrawKey,
+  // An operator asks that a zone gets no calls, for longer than the hosts may
+  // take to follow. One zone at a time.
+  kEvacuateZone,
 };
 
 std::string_view
@@ -122,6 +125,7 @@
   {
     std::string id;
     std::string service;
+    std::string zone;
     std::unique_ptr<testing_support::RawEndpoint> server;
     // None for an unlinked endpoint.
     std::unique_ptr<standin::Link> link;
@@ -139,9 +143,12 @@
   void AddUnlinkedEndpoint(const std::string& aService);
   Endpoint MakeEndpoint(const std::string& aId,
                         const std::string& aService,
+                        const std::string& aZone,
                         bool aLinked);
   void RegisterEndpoint(const Endpoint& aEndpoint, const std::string& aState);
   void WriteConfiguration();
+  void EvacuateZone(TimePoint aNow);
+  void EndEvacuation(TimePoint aNow);
   testing_support::PresetResponse HandleRequest(const std::string& aEndpoint,
                                                 const std::string& aRequest,
                                                 bool aLinked);
@@ -172,6 +179,9 @@
   std::vector<Endpoint> unlinkedEndpoints;
   int configVersion = 0;
   int marketKeyCount = 1;
+  // Empty if no zone is evacuated.
+  std::string evacuatedZone;
+  TimePoint evacuationEndsAt{};
   TimePoint storeRestoreAt{};
   // End of each fault that makes endpoints corrupt responses.
   std::map<SoakFault, TimePoint> responseFaultsEndAt;
--- a/tests/soak/soak_judge.cc
+++ b/tests/soak/soak_judge.cc
@@ -141,6 +141,53 @@
   this->endpoints[aEndpoint].requestsAt.push_back(aAt);
 }
 
+void
+SoakChecker::OnEndpointAdded(const std::string& aEndpoint,
+                             const std::string& aZone)
+{
+  this->endpoints[aEndpoint].zone = aZone;
+}
+
+void
+SoakChecker::OnZoneEvacuated(const std::string& aZone, TimePoint aAt)
+{
+  this->evacuations[aZone].push_back({ aAt });
+}
+
+void
+SoakChecker::OnEvacuationEnded(const std::string& aZone, TimePoint aAt)
+{
+  this->evacuations[aZone].back().to = aAt;
+}
+
+// One violation for each endpoint and evacuation, with the latest request.
+void
+SoakChecker::CheckEvacuations(std::vector<std::string>& aViolations) const
+{
+  for (const auto& entry : this->endpoints) {
+    const auto evacuated = this->evacuations.find(entry.second.zone);
+    if (evacuated == this->evacuations.end()) {
+      continue;
+    }
+    for (const Evacuation& evacuation : evacuated->second) {
+      int late = 0;
+      Millis latest(0);
+      for (const TimePoint at : entry.second.requestsAt) {
+        if (at > evacuation.from + kEvacuationLimit && at < evacuation.to) {
+          ++late;
+          latest = std::chrono::duration_cast<Millis>(at - evacuation.from);
+        }
+      }
+      if (late > 0) {
+        aViolations.push_back(
+          "evacuated_zone: " + entry.first + " of " + entry.second.zone +
+          " got " + std::to_string(late) + " requests, the latest " +
+          std::to_string(latest.count()) + " ms after the record");
+      }
+    }
+  }
+}
+
 void
 SoakChecker::OnRateNamed(const std::string& aEndpoint,
                          double aCallsPerSecond,
@@ -339,6 +386,7 @@
   this->CheckBudgets(all);
   this->CheckQuota(all);
   this->CheckRates(all);
+  this->CheckEvacuations(all);
   return all;
 }
 
--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -35,6 +35,8 @@
 // while
 //   it names it, it gets in any kRateWindow at most kRateFactor times as many
 //   requests as that allows, and kRateTolerance more.
+// - evacuated_zone: no request reaches an endpoint of a zone later than
+//   kEvacuationLimit after the record of its evacuation, until that is deleted.
 //
 // All calls are kept until the end: a soak of one minute sends about 10,000.
 #ifndef TANAGERSEAM_TESTS_SOAK_SOAK_JUDGE_H_
@@ -93,6 +95,8 @@
   static constexpr Millis kRateWindow{ 4000 };
   static constexpr double kRateFactor = 1.5;
   static constexpr double kRateTolerance = 5;
+  // The operators' bound: 5 s after the store has acknowledged the record.
+  static constexpr Millis kEvacuationLimit{ 5000 };
 
   explicit SoakChecker(CheckerSettings aSettings);
 
@@ -105,6 +109,12 @@
                       TimePoint aAt);
   // A request arrived at an endpoint, which may refuse it.
   void OnRequestArrived(const std::string& aEndpoint, TimePoint aAt);
+  // An endpoint that OnRequestArrived names, and where it lies.
+  void OnEndpointAdded(const std::string& aEndpoint, const std::string& aZone);
+  // The record of an evacuation was acknowledged.
+  void OnZoneEvacuated(const std::string& aZone, TimePoint aAt);
+  // The record is about to be deleted.
+  void OnEvacuationEnded(const std::string& aZone, TimePoint aAt);
   // An endpoint named its rate in a response.
   void OnRateNamed(const std::string& aEndpoint,
                    double aCallsPerSecond,
@@ -153,9 +163,15 @@
   };
   struct EndpointRecord
   {
+    std::string zone;
     std::vector<TimePoint> requestsAt;
     std::vector<RateSpell> spells;
   };
+  struct Evacuation
+  {
+    TimePoint from{};
+    TimePoint to = TimePoint::max();
+  };
   struct ProgramTokens
   {
     int64_t budgetTokens = 0;
@@ -170,12 +186,15 @@
   void CheckBudgets(std::vector<std::string>& aViolations) const;
   void CheckQuota(std::vector<std::string>& aViolations) const;
   void CheckRates(std::vector<std::string>& aViolations) const;
+  void CheckEvacuations(std::vector<std::string>& aViolations) const;
 
   CheckerSettings settings;
   std::unordered_map<std::string, CallRecord> calls;
   std::unordered_map<std::string, TimePoint> withdrawnAt;
   std::map<std::string, ProgramTokens> programs;
   std::map<std::string, EndpointRecord> endpoints;
+  // By zone, oldest first.
+  std::map<std::string, std::vector<Evacuation>> evacuations;
   std::vector<TimePoint> limitedExecutions;
   std::vector<std::string> violations;
   size_t completeResponses = 0;
--- a/tests/soak/soak_judge_test.cc
+++ b/tests/soak/soak_judge_test.cc
@@ -264,5 +264,36 @@
   }
 }
 
+// Guards against a host that goes on sending to a zone that an operator
+// empties.
+TEST_F(SoakCheckerTest, ReportsRequestsToAnEvacuatedZone)
+{
+  this->checker.OnEndpointAdded("a-1", "zone-a");
+  this->checker.OnEndpointAdded("b-1", "zone-b");
+  this->checker.OnZoneEvacuated("zone-a", At(1000));
+  {
+    SCOPED_TRACE("before the record, within the limit, and elsewhere");
+    this->checker.OnRequestArrived("a-1", At(900));
+    this->checker.OnRequestArrived("a-1", At(6000));
+    this->checker.OnRequestArrived("b-1", At(9000));
+    EXPECT_EQ(this->ViolatedInvariant(), "0 violations");
+  }
+  this->checker.OnRequestArrived("a-1", At(6001));
+  EXPECT_EQ(this->ViolatedInvariant(), "evacuated_zone");
+}
+
+TEST_F(SoakCheckerTest, AllowsRequestsOnceAnEvacuationHasEnded)
+{
+  this->checker.OnEndpointAdded("a-1", "zone-a");
+  this->checker.OnZoneEvacuated("zone-a", At(1000));
+  this->checker.OnEvacuationEnded("zone-a", At(8000));
+  this->checker.OnRequestArrived("a-1", At(8000));
+  this->checker.OnZoneEvacuated("zone-a", At(10000));
+  this->checker.OnRequestArrived("a-1", At(15000));
+  EXPECT_EQ(this->ViolatedInvariant(), "0 violations");
+  this->checker.OnRequestArrived("a-1", At(15001));
+  EXPECT_EQ(this->ViolatedInvariant(), "evacuated_zone");
+}
+
 } // namespace
 } // namespace tanagerseam::soak
--- a/tests/support/gateway_host.h
+++ b/tests/support/gateway_host.h
@@ -27,6 +27,7 @@
   std::string storeAddress;
   Millis keyFreshness{ 2000 };
   Millis shutdownNotice{ 300 };
+  std::string zone = "zone-a";
 };
 
 class GatewayHost
@@ -58,7 +59,8 @@
   void WriteSettings() const
   {
     std::ofstream file(this->iniPath);
-    file << "[gateway]\nhost = " << this->settings.name << "\nzone = zone-a\n"
+    file << "[gateway]\nhost = " << this->settings.name
+         << "\nzone = " << this->settings.zone << "\n"
          << "call_address = " << LoopbackAddress(this->callPort) << "\n"
          << "ready_address = " << LoopbackAddress(this->readyPort) << "\n"
          << "metrics_address = " << LoopbackAddress(this->metricsPort) << "\n"
@@ -138,10 +140,11 @@
 EndpointJson(const std::string& aService,
              const std::string& aAddress,
              const std::string& aState,
-             const std::string& aVersion = "v1")
+             const std::string& aVersion = "v1",
+             const std::string& aZone = "zone-a")
 {
   const nlohmann::json entry = {
-    { "service", aService }, { "address", aAddress }, { "zone", "zone-a" },
+    { "service", aService }, { "address", aAddress }, { "zone", aZone },
     { "version", aVersion }, { "slots", 8 },          { "state", aState },
     { "cold-left-ms", 0 },   { "sequence", 1 }
   };
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -256,7 +256,8 @@
 
   static nlohmann::json Newest(const Partition& aPartition)
   {
-    std::map<std::string, std::string> newest;
+    std::map<std::string, std::pair<std::string, int64_t>> newest;
+    int64_t offset = 0;
     for (const std::string& record : aPartition.records) {
       const size_t length = static_cast<unsigned char>(record[0]);
       const std::string key = record.substr(1, length);
@@ -264,14 +265,15 @@
       if (value.empty()) {
         newest.erase(key);
       } else {
-        newest[key] = value;
+        newest[key] = { value, offset };
       }
+      ++offset;
     }
     nlohmann::json items = nlohmann::json::array();
     for (const auto& entry : newest) {
       items.push_back({ { "key", entry.first },
-                        { "value", absl::Base64Escape(entry.second) },
-                        { "offset", 0 } });
+                        { "value", absl::Base64Escape(entry.second.first) },
+                        { "offset", entry.second.second } });
     }
     return { { "items", items },
              { "more", false },
