One bound for all that a host holds, and one for an endpoint's requests

Cause: only responses under way were bounded (16 MiB). Bodies that arrive, calls that wait and whole responses that a client does not read were not: 30 clients with bodies of 4 MiB come to 240 MiB (computed), as RESTinio keeps the body that it has read beside the one that is handed on. Nothing bounded what one endpoint gets at a time, and an endpoint crashes if the requests that it holds exceed its memory.

Change: - http/held_memory: requests, at most two thirds, and responses share [gateway] max_held_bytes (24 MiB). A response that finds no room makes the largest requests that were not sent give way, then the largest unread responses. - GuardedSocket does not read a request further while there is no room. After 500 ms a request gives way: the largest stalled upload, or else the largest of all.

Ruled out: the plain rule "largest first" for uploads. Three uploads that had stalled at 2 MiB outlived a fourth that was going on, which was then the largest (AStalledUploadGivesWayToOthers failed with 503).

Left: a request that is forwarded to a peer is not counted a third time; a body is still held twice.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -36,6 +36,8 @@
 constexpr Millis kShutdownMargin(700);
 constexpr Millis kShutdownPollInterval(50);
 constexpr int kIdlePollsBeforeExit = 3;
+// Time in which some uploads under way end.
+constexpr Millis kRetryAfterNoMemory(500);
 
 std::string
 ReadFile(const std::string& aPath)
@@ -46,17 +48,6 @@
   return text.str();
 }
 
-HttpAnswer
-MakeFaultAnswer(InputFault aFault)
-{
-  HttpAnswer answer;
-  answer.status = aFault == InputFault::kBodyTooLarge      ? 413
-                  : aFault == InputFault::kHeadersTooLarge ? 431
-                  : aFault == InputFault::kTooSlow         ? 408
-                                                           : 400;
-  return answer;
-}
-
 } // namespace
 
 struct GatewayProcess::Impl
@@ -68,8 +59,15 @@
     , client(io, EventClientSettings{})
     , store(io, client, settings.storeAddress, metrics)
     , link(io, LinkSettingsOf(settings, started))
+    , heldMemory(std::make_shared<HeldMemory>(io, settings.maxHeldBytes))
     , gateway(GatewaySettingsOf(settings, started),
-              GatewayDependencies{ io, client, dialect, store, link, metrics })
+              GatewayDependencies{ io,
+                                   client,
+                                   dialect,
+                                   store,
+                                   link,
+                                   metrics,
+                                   heldMemory })
     , configurationFeed(io,
                         store,
                         { kConfigurationTopic, ConfirmWait(settings) },
@@ -127,13 +125,33 @@
                     aSettings.keyFreshness / kConfirmsPerFreshnessPeriod);
   }
 
+  HttpAnswer MakeFaultAnswer(InputFault aFault) const
+  {
+    if (aFault == InputFault::kNoMemory) {
+      Refusal refusal =
+        MakeRefusal(RefusalReason::kOverloaded, "no memory for the request");
+      refusal.retryAfter = kRetryAfterNoMemory;
+      // Its headers were not read, so it has no id.
+      return this->dialect.BuildRefusalResponse(refusal, "");
+    }
+    HttpAnswer answer;
+    answer.status = aFault == InputFault::kBodyTooLarge      ? 413
+                    : aFault == InputFault::kHeadersTooLarge ? 431
+                    : aFault == InputFault::kTooSlow         ? 408
+                                                             : 400;
+    return answer;
+  }
+
   EventServerSettings ServerSettingsFor(const std::string& aAddress) const
   {
     EventServerSettings server;
     const HostPort parts = SplitAddress(aAddress);
     server.address = parts.ip;
     server.port = parts.port;
-    server.faultAnswer = MakeFaultAnswer;
+    server.heldMemory = this->heldMemory;
+    server.faultAnswer = [this](InputFault aFault) {
+      return this->MakeFaultAnswer(aFault);
+    };
     return server;
   }
 
@@ -420,6 +438,7 @@
   StoreClient store;
   PlatformDialect dialect;
   FleetLink link;
+  std::shared_ptr<HeldMemory> heldMemory;
   Gateway gateway;
   KeyedFeed configurationFeed;
   KeyedFeed serversFeed;
--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+// One body of the largest size, as it is held twice and sent once, must fit
+// into the two thirds that requests may take.
+constexpr int64_t kMinHeldBytes = 20LL << 20;
+constexpr int64_t kMaxHeldBytes = 1LL << 40;
 constexpr int64_t kMaxDurationMillis = 600000;
 constexpr int64_t kMaxStorePartitions = 10000;
 // Fraction of the cap.
@@ -118,6 +122,11 @@
   aSettings.coldSlack = ReadColdSlack(aReader);
   aSettings.placement = ReadPlacement(aReader);
   aSettings.contention = aReader.Flag("contention", aSettings.contention);
+  aSettings.maxHeldBytes = static_cast<size_t>(
+    aReader.Integer("max_held_bytes",
+                    static_cast<int64_t>(aSettings.maxHeldBytes),
+                    kMinHeldBytes,
+                    kMaxHeldBytes));
 }
 
 void
--- a/daemon/gateway_settings.h
+++ b/daemon/gateway_settings.h
@@ -40,6 +40,8 @@
   Millis shutdownLimit{ 8000 };
   // Time from SIGTERM until clients have moved to other hosts.
   Millis shutdownNotice{ 3500 };
+  // Bound on what the host holds for clients and endpoints; see HeldMemory.
+  size_t maxHeldBytes = 24u << 20;
   std::string storeAddress;
   // Partitions of one topic of the store.
   int storePartitions = 12;
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -30,6 +30,11 @@
       self->OnClientDisconnected();
     }
   });
+  this->reply->OnMemoryNeeded([weak = this->weak_from_this()] {
+    if (auto self = weak.lock()) {
+      self->OnMemoryNeeded();
+    }
+  });
   if (!this->state.acceptsCalls) {
     this->RefuseWithRetryAfter(RefusalReason::kNotReady,
                                "the host is shutting down",
@@ -409,6 +414,8 @@
   dispatchCall.excludedEndpoints = this->call.excludedEndpoints;
   dispatchCall.excludedEndpoints.insert(this->triedEndpoints.begin(),
                                         this->triedEndpoints.end());
+  dispatchCall.excludedEndpoints.insert(this->fullEndpoints.begin(),
+                                        this->fullEndpoints.end());
   if (this->origin) {
     dispatchCall.version = this->origin->version;
   }
@@ -436,12 +443,15 @@
 void
 CallFlow::OnPlacementRefused(const Refused& aRefused)
 {
+  const bool noEndpoint = aRefused.reason == DispatchRefusal::kNoEndpoint;
+  if (noEndpoint && this->WaitForEndpointRoom()) {
+    return;
+  }
   if (this->mayHaveExecuted) {
     this->Refuse(RefusalReason::kEndpointFailed,
                  "no endpoint for another attempt");
     return;
   }
-  const bool noEndpoint = aRefused.reason == DispatchRefusal::kNoEndpoint;
   if (noEndpoint && this->origin) {
     this->Refuse(RefusalReason::kStreamVersionGone,
                  "no endpoint of version " + this->origin->version);
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -95,6 +95,10 @@
   const std::string body = this->priorTranscript
                              ? *this->priorTranscript + this->call.body
                              : this->call.body;
+  if (!this->TakeRoomToSend(body.size())) {
+    return;
+  }
+  this->reply->OnMemoryNeeded(nullptr);
   const Millis remaining = this->RemainingTime();
   const Millis endpointTimeout =
     std::max(Millis(1), remaining - kResponseMargin);
@@ -152,6 +156,7 @@
 {
   this->exchangeActive = false;
   this->placed = false;
+  this->GiveBackRoomToSend();
   const TimePoint now = BootNow();
   AttemptOutcome outcome;
   outcome.result = aEnd;
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -31,6 +31,7 @@
   , deadline(this->arrivedAt + Millis(1000))
   , timer(aState.dependencies.io)
   , dispatchId(aState.nextDispatchId++)
+  , roomTimer(aState.dependencies.io)
   , turnOutput(aState.responseMemory)
 {
   ++this->state.inFlightCalls;
@@ -228,6 +229,8 @@
   }
   std::uniform_int_distribution<size_t> distribution(0, addresses.size() - 1);
   const std::string& address = addresses[distribution(this->state.random)];
+  // The peer may run the call.
+  this->reply->OnMemoryNeeded(nullptr);
   for (const LeavingEndpoint& leaving : this->state.endpoints.Leaving()) {
     this->call.excludedEndpoints.insert(leaving.id);
   }
@@ -300,6 +303,7 @@
   }
   this->ended = true;
   this->timer.cancel();
+  this->roomTimer.cancel();
   const TimePoint now = BootNow();
   if (this->exchangeActive) {
     this->relay->Cancel();
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -73,6 +73,18 @@
   // The regions that the call may be sent to.
   RegionSet AllowedRegions() const;
 
+  // ---- memory; see call_memory.cc
+  // The host needs the memory of this call, which is refused unless it may have
+  // been sent.
+  void OnMemoryNeeded();
+  // False if the endpoint holds enough of this host's requests or this host has
+  // no memory for the body: the call is placed again, or refused.
+  bool TakeRoomToSend(size_t aBytes);
+  void GiveBackRoomToSend();
+  // Places the call again after a pause if it found only endpoints that hold
+  // enough. False: there were none.
+  bool WaitForEndpointRoom();
+
   // ---- one attempt at an endpoint
   // Whether the endpoint's rate limit permits the call. If not, the call is
   // placed again.
@@ -185,6 +197,12 @@
 
   // ---- attempts at endpoints
   std::set<std::string> triedEndpoints;
+  // Endpoints that hold enough of this host's requests.
+  std::set<std::string> fullEndpoints;
+  restinio::asio_ns::steady_timer roomTimer;
+  // Of the request that is under way.
+  size_t outgoingBytes = 0;
+  std::unique_ptr<HeldBytes> heldOutgoing;
   // Sent attempts; connection failures are not counted.
   int attempts = 0;
   // Endpoints to which no connection could be made.
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -106,6 +106,9 @@
     metrics.Set("tanagerseam_calls_waiting",
                 {},
                 static_cast<double>(this->state.dispatcher.QueuedCalls()));
+    metrics.Set("tanagerseam_held_bytes",
+                {},
+                static_cast<double>(this->state.responseMemory->Used()));
     metrics.Set("tanagerseam_services_lost",
                 {},
                 static_cast<double>(this->state.reach.Lost().size()));
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -82,7 +82,10 @@
   QuotaSlack coldSlack{ Millis(1000), 0, 0 };
   // Memory of all responses that are being received: gathered bodies, outputs
   // of turns, and what waits to be sent.
+  // Without GatewayDependencies::heldMemory only.
   size_t maxResponseBytes = 16u << 20;
+  // Of requests of this host that one endpoint has not answered.
+  size_t maxEndpointBytes = 8u << 20;
   // Partitions per topic of the record log.
   int logPartitions = 12;
 };
@@ -95,6 +98,9 @@
   RecordLog& log;
   FleetLink& link;
   Metrics& metrics;
+  // Bounds all that the host holds for clients and endpoints; shared with its
+  // HTTP server. Null: only responses are bounded.
+  std::shared_ptr<HeldMemory> heldMemory;
 };
 
 class Gateway
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -48,7 +48,10 @@
                            GatewayDependencies aDependencies)
   : settings(std::move(aSettings))
   , dependencies(aDependencies)
-  , responseMemory(std::make_shared<ByteBudget>(settings.maxResponseBytes))
+  , responseMemory(aDependencies.heldMemory
+                     ? aDependencies.heldMemory->Budget()
+                     : std::make_shared<ByteBudget>(settings.maxResponseBytes))
+  , outgoing(this->settings.maxEndpointBytes)
   , dispatcher(MakeDispatchSettings(this->settings))
   , quota(this->settings.host,
           this->settings.startTime,
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "fleet/member_table.h"
 #include "gateway/connection_policy.h"
 #include "gateway/gateway.h"
+#include "gateway/outgoing_bytes.h"
 #include "gateway/peer_table.h"
 #include "gateway/quota_client.h"
 #include "gateway/response_relay.h"
@@ -93,6 +94,7 @@
   // Of all responses together: gathered bodies, outputs of turns, and what
   // waits to be sent.
   std::shared_ptr<ByteBudget> responseMemory;
+  OutgoingBytes outgoing;
   std::shared_ptr<const Catalog> catalog;
   TimePoint catalogConfirmedAt{};
   EndpointTable endpoints;
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -35,14 +35,24 @@
   GatewayHost(restinio::asio_ns::io_context& aIo,
               RecordLog& aLog,
               const std::string& aName,
-              size_t aMaxResponseBytes = GatewaySettings{}.maxResponseBytes)
+              size_t aMaxResponseBytes = GatewaySettings{}.maxResponseBytes,
+              size_t aMaxEndpointBytes = GatewaySettings{}.maxEndpointBytes,
+              const std::shared_ptr<HeldMemory>& aMemory = nullptr)
     : client(aIo, EventClientSettings{})
     , link(aIo, { aName, 1, "127.0.0.1", this->linkPort })
-    , gateway(MakeSettings(aName, this->port, aMaxResponseBytes),
-              GatewayDependencies{ aIo, client, dialect, aLog, link, metrics })
+    , gateway(
+        MakeSettings(aName, this->port, aMaxResponseBytes, aMaxEndpointBytes),
+        GatewayDependencies{ aIo,
+                             client,
+                             dialect,
+                             aLog,
+                             link,
+                             metrics,
+                             aMemory })
   {
     EventServerSettings settings;
     settings.port = this->port;
+    settings.heldMemory = aMemory;
     this->server = std::make_unique<EventServer>(
       aIo, settings, [this](EventRequest aRequest, auto aReply) {
         this->gateway.Handle(std::move(aRequest), std::move(aReply));
@@ -56,7 +66,8 @@
 
   static GatewaySettings MakeSettings(const std::string& aName,
                                       uint16_t aPort,
-                                      size_t aMaxResponseBytes)
+                                      size_t aMaxResponseBytes,
+                                      size_t aMaxEndpointBytes)
   {
     GatewaySettings settings;
     settings.host = aName;
@@ -68,6 +79,7 @@
     settings.startTime = 1;
     settings.freshStart = true;
     settings.maxResponseBytes = aMaxResponseBytes;
+    settings.maxEndpointBytes = aMaxEndpointBytes;
     return settings;
   }
 
--- a/http/byte_budget.cc
+++ b/http/byte_budget.cc
@@ -12,7 +12,7 @@
 {
   size_t before = this->used;
   do {
-    if (aBytes > this->limit - before) {
+    if (before > this->limit || aBytes > this->limit - before) {
       return false;
     }
   } while (!this->used.compare_exchange_weak(before, before + aBytes));
@@ -25,6 +25,12 @@
   this->used -= aBytes;
 }
 
+void
+ByteBudget::Force(size_t aBytes)
+{
+  this->used += aBytes;
+}
+
 ByteShare::ByteShare(std::shared_ptr<ByteBudget> aBudget)
   : budget(std::move(aBudget))
 {
@@ -44,7 +50,11 @@
     this->counted = toCount;
     return true;
   }
-  if (!this->budget->Take(toCount - this->counted)) {
+  const size_t more = toCount - this->counted;
+  const bool taken = this->budget->Take(more) ||
+                     (this->budget->makeRoom && this->budget->makeRoom(more) &&
+                      this->budget->Take(more));
+  if (!taken) {
     LogWarn("response_memory_full",
             { { "wanted", std::to_string(aBytes) },
               { "used", std::to_string(this->budget->Used()) },
--- a/http/byte_budget.h
+++ b/http/byte_budget.h
@@ -17,9 +17,11 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace tanagerseam {
 
@@ -33,16 +35,26 @@
 
   size_t Limit() const { return this->limit; }
   size_t Used() const { return this->used; }
+  // Called when a share finds no room for so many bytes; true if there is room
+  // then. Only for budgets whose shares belong to one thread.
+  void SetMakeRoom(std::function<bool(size_t)> aMakeRoom)
+  {
+    this->makeRoom = std::move(aMakeRoom);
+  }
 
 private:
   friend class ByteShare;
+  friend class HeldBytes;
 
   // False, with nothing taken, if fewer than aBytes are left.
   bool Take(size_t aBytes);
   void GiveBack(size_t aBytes);
+  // Takes aBytes, beyond the limit if need be.
+  void Force(size_t aBytes);
 
   const size_t limit;
   std::atomic<size_t> used{ 0 };
+  std::function<bool(size_t)> makeRoom;
 };
 
 // What one holder keeps of a budget; given back with the share.
--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -108,6 +108,7 @@
 struct ServerState
 {
   std::shared_ptr<ByteBudget> gatheredBytes;
+  std::shared_ptr<HeldMemory> heldMemory;
   bool closing = false;
   size_t busy = 0;
 };
@@ -118,11 +119,12 @@
 {
 public:
   LoopReply(restinio::request_handle_t aRequest,
-            std::shared_ptr<ConnectionWatch> aWatch,
+            GuardedSocket& aSocket,
             std::shared_ptr<ServerState> aState)
     : request(std::move(aRequest))
-    , watch(std::move(aWatch))
+    , watch(aSocket.Watch())
     , state(std::move(aState))
+    , requestBytes(aSocket.TakeUpload())
   {
     ++this->state->busy;
   }
@@ -216,6 +218,13 @@
     this->watch->Begin(std::move(aOnGone));
   }
 
+  void OnMemoryNeeded(std::function<void()> aRefuse) override
+  {
+    if (this->requestBytes) {
+      this->requestBytes->OnGiveWay(std::move(aRefuse));
+    }
+  }
+
   size_t Unwritten() const override { return this->unwritten; }
 
   void OnDrained(std::function<void()> aOnDrained) override
@@ -256,10 +265,32 @@
     WholeBuilder builder =
       this->request->create_response(EventStatusLine(aStatus));
     this->AddHeaders(builder, aHeaders);
+    std::shared_ptr<HeldBytes> unread;
     if (this->MayHaveBody(aStatus)) {
+      unread = this->HoldResponse(aBody.size());
       builder.set_body(std::move(aBody));
     }
-    builder.done(this->WhenWritten());
+    builder.done([written = this->WhenWritten(), unread](const auto& aError) {
+      written(aError);
+    });
+  }
+
+  // A whole response counts until the client has read it; a slow reader is
+  // broken off if its memory is needed.
+  std::shared_ptr<HeldBytes> HoldResponse(size_t aBytes)
+  {
+    if (!this->state->heldMemory || aBytes <= ByteShare::kUncountedBytes) {
+      return nullptr;
+    }
+    auto unread =
+      std::make_shared<HeldBytes>(this->state->heldMemory, HeldKind::kResponse);
+    unread->Force(aBytes);
+    unread->OnGiveWay([weak = this->watch->weak_from_this()] {
+      if (const auto watching = weak.lock()) {
+        watching->Break();
+      }
+    });
+    return unread;
   }
 
   // True if a response may begin with aStatus; else it is broken off, as one
@@ -357,6 +388,8 @@
   restinio::request_handle_t request;
   std::shared_ptr<ConnectionWatch> watch;
   std::shared_ptr<ServerState> state;
+  // What the request counts; null if that is nothing.
+  std::shared_ptr<HeldBytes> requestBytes;
   std::unique_ptr<ChunkBuilder> chunks;
   // In place of `chunks`, if the client can't take any.
   std::unique_ptr<GatheredStream> gathered;
@@ -427,7 +460,10 @@
     , handler(std::make_shared<const EventHandler>(std::move(aHandler)))
   {
     this->state->gatheredBytes =
-      std::make_shared<ByteBudget>(this->settings.maxGatheredBytes);
+      this->settings.heldMemory
+        ? this->settings.heldMemory->Budget()
+        : std::make_shared<ByteBudget>(this->settings.maxGatheredBytes);
+    this->state->heldMemory = this->settings.heldMemory;
   }
 
   restinio::request_handling_status_t Handle(
@@ -438,8 +474,7 @@
     if (socket == nullptr) {
       return restinio::request_rejected();
     }
-    auto reply =
-      std::make_shared<LoopReply>(aRequest, socket->Watch(), this->state);
+    auto reply = std::make_shared<LoopReply>(aRequest, *socket, this->state);
     if (!HasSoundHeaders(aRequest)) {
       reply->CloseAfterAnswer();
       reply->Send(kBadRequest, {}, "");
@@ -497,13 +532,20 @@
 {
 }
 
-EventServer::~EventServer() = default;
+EventServer::~EventServer()
+{
+  IoThreadNotes& notes = ThisIoThread();
+  if (notes.memory == this->impl->settings.heldMemory) {
+    notes.memory.reset();
+  }
+}
 
 void
 EventServer::Open()
 {
   Impl& self = *this->impl;
   ThisIoThread().answer = &self.settings.faultAnswer;
+  ThisIoThread().memory = self.settings.heldMemory;
   self.server = std::make_unique<Impl::Server>(
     restinio::external_io_context(self.io), self.Options());
   const std::string address =
--- a/http/event_server.h
+++ b/http/event_server.h
@@ -28,6 +28,7 @@
 
 #include <restinio/asio_include.hpp>
 
+#include "http/held_memory.h"
 #include "http/http_message.h"
 #include "http/input_fault.h"
 #include "kernel/kernel.h"
@@ -60,6 +61,9 @@
   virtual void OnGone(std::function<void()> aOnGone) = 0;
   // Bytes handed to Write that have not left yet.
   virtual size_t Unwritten() const = 0;
+  // The request is refused by calling aRefuse if its memory is needed; null
+  // once it can't be refused any more. Called at most once.
+  virtual void OnMemoryNeeded(std::function<void()> aRefuse) = 0;
   // Called each time that all pieces have left.
   virtual void OnDrained(std::function<void()> aOnDrained) = 0;
 };
@@ -74,6 +78,10 @@
   size_t maxBodyBytes = 4u << 20;
   // Of all streams together that are kept until their ends.
   size_t maxGatheredBytes = 16u << 20;
+  // What requests and whole responses hold counts here; null: it is not
+  // counted. The servers of one thread share one, since it is looked up by
+  // thread.
+  std::shared_ptr<HeldMemory> heldMemory;
   // Time for a whole request to arrive, also while a connection is idle.
   Millis readTimeout{ 300000 };
   FaultAnswer faultAnswer;
--- a/http/guarded_socket.cc
+++ b/http/guarded_socket.cc
@@ -13,6 +13,7 @@
 namespace asio = restinio::asio_ns;
 
 constexpr std::chrono::milliseconds kLingerTime(1000);
+constexpr std::chrono::milliseconds kRoomCheckInterval(10);
 constexpr size_t kLingerBuffer = 4096;
 constexpr int kMaxLingering = 64;
 
@@ -118,9 +119,12 @@
 {
   IoThreadNotes& notes = ThisIoThread();
   InputFault fault = std::exchange(notes.fault, InputFault::kNone);
-  if (fault == InputFault::kNone && this->partial) {
+  if (this->gaveWay) {
+    fault = InputFault::kNoMemory;
+  } else if (fault == InputFault::kNone && this->partial) {
     fault = InputFault::kTooSlow;
   }
+  this->upload.reset();
   const bool answerable = fault != InputFault::kNone &&
                           fault != InputFault::kPeerGone &&
                           notes.answer != nullptr && *notes.answer;
@@ -231,6 +235,76 @@
   }
 }
 
+void
+ConnectionWatch::GiveWay()
+{
+  if (this->socket != nullptr) {
+    this->socket->GiveWay();
+  }
+}
+
+bool
+GuardedSocket::TakeRoom(size_t aBytes)
+{
+  const auto& memory = ThisIoThread().memory;
+  const size_t wanted = kCopiesOfBody * (this->received + aBytes);
+  if (memory == nullptr || this->gaveWay ||
+      wanted <= ByteShare::kUncountedBytes) {
+    return true;
+  }
+  if (this->upload == nullptr) {
+    this->upload = std::make_shared<HeldBytes>(memory, HeldKind::kUpload);
+    this->upload->OnGiveWay([weak = this->Watch()->weak_from_this()] {
+      if (const auto watching = weak.lock()) {
+        watching->GiveWay();
+      }
+    });
+  }
+  const auto now = std::chrono::steady_clock::now();
+  if (this->upload->Resize(wanted)) {
+    this->pausedAt = {};
+    return true;
+  }
+  if (this->pausedAt == std::chrono::steady_clock::time_point{}) {
+    this->pausedAt = now;
+  } else if (now - this->pausedAt >= kMaxReadPause) {
+    memory->MakeRoomForRequest(kCopiesOfBody * aBytes);
+  }
+  return false;
+}
+
+void
+GuardedSocket::WaitForRoom(std::function<void()> aRead)
+{
+  auto timer = std::make_shared<asio::steady_timer>(this->get_executor(),
+                                                    kRoomCheckInterval);
+  // aRead keeps RESTinio's connection, and so this socket. A read of a socket
+  // that was closed meanwhile fails.
+  timer->async_wait([timer, read = std::move(aRead)](const auto&) { read(); });
+}
+
+void
+GuardedSocket::GiveWay()
+{
+  if (!this->upload) {
+    // The request was handed on meanwhile.
+    return;
+  }
+  this->gaveWay = true;
+  Error ignored;
+  this->cancel(ignored);
+}
+
+std::shared_ptr<HeldBytes>
+GuardedSocket::TakeUpload()
+{
+  if (this->upload) {
+    this->upload->OnGiveWay(nullptr);
+    this->upload->EndUpload();
+  }
+  return std::move(this->upload);
+}
+
 void
 GuardedSocket::EndWriting()
 {
--- a/http/guarded_socket.h
+++ b/http/guarded_socket.h
@@ -20,6 +20,10 @@
 // its request handler; and `partial` is cleared when a request is taken and
 // when an answer is written.
 //
+// A request that arrives counts in the thread's HeldMemory. While that has no
+// room, the socket reads nothing, so that the caller's window closes; after
+// kMaxReadPause the largest requests give way and are answered with kNoMemory.
+//
 // Cost: one flag for each connection; a lingering connection holds one buffer
 // of kLingerBuffer for at most kLingerTime, and at most kMaxLingering do.
 #ifndef TANAGERSEAM_HTTP_GUARDED_SOCKET_H_
@@ -32,6 +36,7 @@
 #include <string>
 #include <utility>
 
+#include "http/held_memory.h"
 #include "http/input_fault.h"
 
 namespace tanagerseam {
@@ -42,6 +47,8 @@
 struct IoThreadNotes
 {
   const FaultAnswer* answer = nullptr;
+  // Null: what is read is not counted.
+  std::shared_ptr<HeldMemory> memory;
   InputFault fault = InputFault::kNone;
   // A whole request was handed to its handler.
   bool requestTaken = false;
@@ -63,6 +70,8 @@
   // sent ahead hide a close that follows them until a write fails.
   void Begin(std::function<void()> aOnGone);
   void End();
+  // Refuses the request that is being read.
+  void GiveWay();
   // Ends the connection: the caller sees that its answer is not whole.
   void Break();
   // The socket is about to be closed, which ends the waits: the caller of an
@@ -117,6 +126,10 @@
   using Base = restinio::asio_ns::ip::tcp::socket;
   using Error = restinio::asio_ns::error_code;
 
+  // RESTinio keeps the body that it has read beside the one that is handed on.
+  static constexpr size_t kCopiesOfBody = 2;
+  static constexpr std::chrono::milliseconds kMaxReadPause{ 500 };
+
   explicit GuardedSocket(restinio::asio_ns::io_context& aIo)
     : Base(aIo)
   {
@@ -136,17 +149,32 @@
   void async_read_some(const Buffers& aBuffers, Handler&& aHandler)
   {
     this->lastWasWrite = false;
+    if (!this->TakeRoom(restinio::asio_ns::buffer_size(aBuffers))) {
+      this->WaitForRoom([this,
+                         aBuffers,
+                         waiting = std::make_shared<std::decay_t<Handler>>(
+                           std::forward<Handler>(aHandler))] {
+        this->async_read_some(aBuffers, std::move(*waiting));
+      });
+      return;
+    }
     auto executor = restinio::asio_ns::get_associated_executor(aHandler);
     auto guarded = [this, handler = std::forward<Handler>(aHandler)](
                      const Error& aError, size_t aLength) mutable {
       ThisIoThread().requestTaken = false;
       ThisIoThread().socket = this;
       this->partial = this->partial || aLength > 0;
+      this->received += aLength;
+      // RESTinio would keep the connection after a cancelled read.
+      const Error error =
+        this->gaveWay ? Error(restinio::asio_ns::error::connection_aborted)
+                      : aError;
       // The handler may destroy this socket unless it handed a request on.
-      handler(aError, aLength);
+      handler(error, aLength);
       ThisIoThread().socket = nullptr;
       if (ThisIoThread().requestTaken) {
         this->partial = false;
+        this->received = 0;
       }
     };
     Base::async_read_some(
@@ -179,17 +207,34 @@
   // caller.
   void EndWriting();
 
+  // Refuses the request that is being read and closes the connection.
+  void GiveWay();
+  // What the request that was read last counts; null if that is nothing.
+  std::shared_ptr<HeldBytes> TakeUpload();
+
   // The watch over this connection; made at the first call, after RESTinio has
   // moved the socket to its place.
   std::shared_ptr<ConnectionWatch> Watch();
 
 private:
+  // False if there is no room to read aBytes more of a request.
+  bool TakeRoom(size_t aBytes);
+  // Calls aRead again after a short pause.
+  void WaitForRoom(std::function<void()> aRead);
+
   // Bytes have come that belong to no request handed on yet.
   bool partial = false;
   // No request is being read: the connection ends with the answer written.
   bool lastWasWrite = false;
   // The caller has to read what was sent last.
   bool answered = false;
+  // The request being read is refused to free its memory.
+  bool gaveWay = false;
+  // Bytes of the request being read.
+  size_t received = 0;
+  std::shared_ptr<HeldBytes> upload;
+  // When reading was paused; the epoch while it is not.
+  std::chrono::steady_clock::time_point pausedAt;
   std::shared_ptr<ConnectionWatch> watch;
 };
 
--- a/http/input_fault.h
+++ b/http/input_fault.h
@@ -21,6 +21,8 @@
   kBodyTooLarge,
   // Begun and not whole within the read timeout.
   kTooSlow,
+  // Refused while it arrived, since the process holds too much.
+  kNoMemory,
   // The caller closed or broke the connection; nobody reads an answer.
   kPeerGone,
 };
