--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+// One body of the largest size, as it is held twice and sent once, must fit
+// into the two thirds that requests may take.
+constexpr int64_t kMinHeldBytes = 20LL << 20;
+constexpr int64_t kMaxHeldBytes = 1LL << 40;
 constexpr int64_t kMaxDurationMillis = 600000;
 constexpr int64_t kMaxStorePartitions = 10000;
 // Fraction of the cap.
@@ -121,6 +125,11 @@
   if (aReader.Has("record_relay")) {
     aSettings.recordRelay = aReader.Flag("record_relay", false);
   }
+  aSettings.maxHeldBytes = static_cast<size_t>(
+    aReader.Integer("max_held_bytes",
+                    static_cast<int64_t>(aSettings.maxHeldBytes),
+                    kMinHeldBytes,
+                    kMaxHeldBytes));
 }
 
 void
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "gateway/connection_policy.h"
 #include "gateway/fleet_record_peers.h"
 #include "gateway/gateway.h"
+#include "gateway/outgoing_bytes.h"
 #include "gateway/peer_table.h"
 #include "gateway/quota_client.h"
 #include "gateway/record_relay.h"
@@ -95,6 +96,7 @@
   // Of all responses together: gathered bodies, outputs of turns, and what
   // waits to be sent.
   std::shared_ptr<ByteBudget> responseMemory;
+  OutgoingBytes outgoing;
   std::shared_ptr<const Catalog> catalog;
   TimePoint catalogConfirmedAt{};
   EndpointTable endpoints;
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -28,6 +28,14 @@
   return route;
 }
 
+// Settings of a GatewayHost that only some tests need.
+struct GatewayHostOptions
+{
+  bool recordRelay = false;
+  size_t maxEndpointBytes = GatewaySettings{}.maxEndpointBytes;
+  std::shared_ptr<HeldMemory> heldMemory;
+};
+
 // One host: a gateway and its HTTP server.
 class GatewayHost
 {
@@ -36,14 +44,21 @@
               RecordLog& aLog,
               const std::string& aName,
               size_t aMaxResponseBytes = GatewaySettings{}.maxResponseBytes,
-              bool aRecordRelay = false)
+              const GatewayHostOptions& aOptions = {})
     : client(aIo, EventClientSettings{})
     , link(aIo, { aName, 1, "127.0.0.1", this->linkPort })
-    , gateway(MakeSettings(aName, this->port, aMaxResponseBytes, aRecordRelay),
-              GatewayDependencies{ aIo, client, dialect, aLog, link, metrics })
+    , gateway(MakeSettings(aName, this->port, aMaxResponseBytes, aOptions),
+              GatewayDependencies{ aIo,
+                                   client,
+                                   dialect,
+                                   aLog,
+                                   link,
+                                   metrics,
+                                   aOptions.heldMemory })
   {
     EventServerSettings settings;
     settings.port = this->port;
+    settings.heldMemory = aOptions.heldMemory;
     this->server = std::make_unique<EventServer>(
       aIo, settings, [this](EventRequest aRequest, auto aReply) {
         this->gateway.Handle(std::move(aRequest), std::move(aReply));
@@ -58,7 +73,7 @@
   static GatewaySettings MakeSettings(const std::string& aName,
                                       uint16_t aPort,
                                       size_t aMaxResponseBytes,
-                                      bool aRecordRelay)
+                                      const GatewayHostOptions& aOptions)
   {
     GatewaySettings settings;
     settings.host = aName;
@@ -70,7 +85,8 @@
     settings.startTime = 1;
     settings.freshStart = true;
     settings.maxResponseBytes = aMaxResponseBytes;
-    settings.recordRelay = aRecordRelay;
+    settings.recordRelay = aOptions.recordRelay;
+    settings.maxEndpointBytes = aOptions.maxEndpointBytes;
     return settings;
   }
 
--- a/gateway/testing/gateway_record_relay_test.cc
+++ b/gateway/testing/gateway_record_relay_test.cc
@@ -59,7 +59,7 @@
 TEST_F(GatewayRecordRelayTest, AWholeAnswerEndsAlthoughTheHostHasNoLog)
 {
   GatewayHost cutHost(
-    this->io, this->cutLog, "host-3", kMaxResponseBytes, true);
+    this->io, this->cutLog, "host-3", kMaxResponseBytes, { true });
   this->Connect(cutHost);
   const std::string received = this->TurnDuringCut(cutHost, "turn-1");
   EXPECT_EQ(StatusOf(received), 200);
@@ -90,7 +90,7 @@
 TEST_F(GatewayRecordRelayTest, APeerOutsideTheRegionsOfTheCallGetsNoRecord)
 {
   GatewayHost cutHost(
-    this->io, this->cutLog, "host-3", kMaxResponseBytes, true);
+    this->io, this->cutLog, "host-3", kMaxResponseBytes, { true });
   this->Connect(cutHost, "zone-s");
   CatalogContent content = GatewayHost::MakeContent(2, "key-1");
   content.routes[0].allowedRegions = { "north" };
