work, dispatch: placement by predicted and outstanding work; work in reports

Adaptive calls left warm caches for endpoints that were idle at the moment: the estimate took a prefill for free there. CostPredictor predicts a call's work, OutstandingWork sums what endpoints still have, of this host's calls and of peers' (LoadReport.work, at most 16 entries). The estimate counts a prefill as a stall of a full batch. Work counts fully beyond the slots and for calls without a prompt, else a tenth. Ruled out by trials: full weight of work at endpoints with free slots, and a stall by the load of the moment (docs/design/placement.md).

--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -108,9 +108,12 @@
   if (!aCall.affinityKey.empty()) {
     RecordCached(state, { aCall.affinityKey, 0 });
   }
-  this->inFlight[aCall.id] = { state.endpoint.id,
-                               aCall.route,
-                               aCall.maxOutputTokens > 0 };
+  InFlightCall& call = this->inFlight[aCall.id];
+  call = { state.endpoint.id, aCall.route, aCall.maxOutputTokens > 0 };
+  if (aEndpoint.inputs) {
+    this->BeginWork(call, *aEndpoint.inputs, aCall, state.hash);
+    placement.inputs = aEndpoint.inputs;
+  }
   return placement;
 }
 
@@ -266,6 +269,7 @@
   }
   const InFlightCall call = found->second;
   this->inFlight.erase(found);
+  this->work.End(aCallId);
   auto entry = this->endpoints.find(call.endpoint);
   if (entry == this->endpoints.end()) {
     return;
@@ -275,6 +279,7 @@
   if (aOutcome.result == AttemptResult::kSucceeded) {
     state.consecutiveFailures = 0;
     this->UpdateLatency(state, call, aOutcome);
+    this->LearnCost(call, aOutcome);
   } else if (aOutcome.result == AttemptResult::kUnreachable) {
     const int doublings =
       std::min(state.consecutiveFailures, kMaxEjectionDoublings);
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -54,12 +54,15 @@
 // a program are never refused for load.
 //
 // Adaptive placement: a service is served either in basic mode, which is what
-// is described so far, or adaptively; see docs/design/contention.md. By default
+// is described so far, or adaptively; see docs/design/placement.md. By default
 // it is served adaptively under contention, or once one of its endpoints has
 // stated its pace. The endpoints that a call is compared at besides the
 // preferred one are then the `groupAlternates` ones with room that have the
 // highest hashes of program and endpoint. All hosts rank them alike, so calls
 // that the preferred endpoint has no room for find a warm cache there too.
+// The estimate is the outstanding work at the endpoint, divided by its slots,
+// the prefill and the predicted work of the call itself, all at the endpoint's
+// pace (work/work.h).
 //
 // Ejection: an endpoint that cannot be reached gets no calls for a period that
 // doubles with each consecutive failure, up to a limit. If more than half of a
@@ -169,6 +172,27 @@
   std::optional<std::set<std::string>> allowedRegions;
 };
 
+// Inputs of an adaptive decision, for the log.
+struct PlacementInputs
+{
+  // Outstanding work in milliseconds at the usual pace: of this host's calls at
+  // the endpoint and of others, and the age of the newest report of others.
+  double ownWorkMillis = 0;
+  double otherWorkMillis = 0;
+  std::optional<Millis> workAge;
+  // Time that work takes there relative to the mean, and the age of the pace
+  // that the endpoint stated.
+  double slowness = 1;
+  std::optional<Millis> paceAge;
+  int64_t uncachedTokens = 0;
+  // Of the call alone, at the usual pace, and by which factor such predictions
+  // were wrong.
+  double predictedMillis = 0;
+  double errorFactor = 1;
+  // The endpoint is the preferred one of the call's group.
+  bool isPreferred = false;
+};
+
 // A call and the endpoint to send it to now. The call counts as in flight until
 // OnAttemptEnded.
 struct Placement
@@ -180,6 +204,8 @@
   double expectedMillis = 0;
   int ownLoad = 0;
   double otherLoad = 0;
+  // Unset in basic mode.
+  std::optional<PlacementInputs> inputs;
 };
 
 // The call is queued; PlaceQueued returns its Placement later.
@@ -292,10 +318,13 @@
   void OnAttemptEnded(uint64_t aCallId,
                       const AttemptOutcome& aOutcome,
                       TimePoint aNow);
-  // The calls that another host has in flight.
+  // aTokens: tokens that the call in flight has generated so far.
+  void OnProgress(uint64_t aCallId, int64_t aTokens);
+  // The calls that another host has in flight, and their outstanding work.
   void OnPeerReport(const std::string& aHost,
                     EndpointLoads aLoads,
-                    TimePoint aNow);
+                    TimePoint aNow,
+                    const EndpointWorks& aWorks = {});
   // aCalls: running and queued calls, as reported by the endpoint itself.
   // aPace: how long work takes there at this moment, relative to the usual
   // time; unset if the endpoint does not say.
@@ -307,6 +336,9 @@
   bool IsAdaptive(const std::string& aService) const;
   // The calls that this host has in flight, to be reported to other hosts.
   EndpointLoads OwnLoads() const;
+  // Their outstanding work, to be reported too. Empty in basic mode.
+  EndpointWorks OwnWorks() const { return this->work.OwnWorks(); }
+  double OwnWorkMillis() const { return this->work.OwnTotal(); }
   // Calls in flight divided by the capacity; 0 for a service without endpoints.
   double ServiceUtilisation(const std::string& aService, TimePoint aNow);
   size_t QueuedCalls() const { return this->queue.size(); }
@@ -351,6 +383,15 @@
     std::string endpoint;
     std::string route;
     bool isStream = false;
+    // The rest is set in adaptive mode only.
+    bool isAdaptive = false;
+    CallTraits traits;
+    // Assumed when the call was placed.
+    double slowness = 1;
+    double prefillMillis = 0;
+    double tokenMillis = 0;
+    // Generated so far.
+    int64_t tokens = 0;
   };
   struct QueuedCall
   {
@@ -361,6 +402,7 @@
   {
     EndpointState* state = nullptr;
     double expectedMillis = 0;
+    std::optional<PlacementInputs> inputs;
   };
   struct PeerReport
   {
@@ -417,6 +459,24 @@
                         const DispatchCall& aCall,
                         bool aIsPreferred,
                         TimePoint aNow) const;
+  // The same in adaptive mode.
+  ScoredEndpoint ScoreAdaptively(EndpointState& aState,
+                                 const DispatchCall& aCall,
+                                 const CostPrediction& aCost,
+                                 bool aIsPreferred,
+                                 TimePoint aNow) const;
+  // Duration of a call at the usual pace, without prefill and waiting.
+  double OwnMillis(const DispatchCall& aCall,
+                   const CostPrediction& aCost) const;
+  // Time per generated token on the route.
+  double TokenMillis(const std::string& aRoute) const;
+  // Outstanding work of other hosts at the endpoint.
+  double OtherWork(const EndpointState& aState, TimePoint aNow) const;
+  void BeginWork(InFlightCall& aInFlight,
+                 const PlacementInputs& aInputs,
+                 const DispatchCall& aCall,
+                 uint32_t aEndpointHash);
+  void LearnCost(const InFlightCall& aCall, const AttemptOutcome& aOutcome);
   // Prompt tokens that the endpoint is expected to prefill.
   static int64_t UncachedTokens(const EndpointState& aState,
                                 const DispatchCall& aCall,
@@ -485,6 +545,11 @@
   std::unordered_map<std::string, double> tokenMillis;
   // Moving average of the time of a call by service.
   std::unordered_map<std::string, double> serviceMillis;
+  // Of adaptively served services alone, like the next two.
+  CostPredictor predictor;
+  OutstandingWork work;
+  // Moving average of the work of a call by service.
+  std::unordered_map<std::string, double> workMillis;
 };
 
 } // namespace tanagerseam
--- a/dispatch/endpoint_choice.cc
+++ b/dispatch/endpoint_choice.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "dispatch/dispatch_constants.h"
+#include "dispatch/estimate.h"
 
 namespace tanagerseam {
 
@@ -13,9 +14,6 @@
 // Prompt parts and affinity keys tracked for each endpoint.
 constexpr size_t kMaxCachedParts = 512;
 constexpr double kMaxEjectedFraction = 0.5;
-// Fraction of a call's time saved at an endpoint that recently had a call
-// with the same affinity key.
-constexpr double kAffinitySaving = 0.3;
 // Fraction of a prompt part assumed to be cached at the preferred endpoint; the
 // rest is new in this turn.
 constexpr double kAssumedCachedFraction = 0.7;
@@ -250,13 +248,21 @@
       withRoom.push_back(state);
     }
   }
+  std::optional<CostPrediction> cost;
+  if (this->IsAdaptive(aCall.service)) {
+    cost = this->predictor.Predict(TraitsOf(aCall));
+  }
   std::optional<ScoredEndpoint> best;
   for (EndpointState* state :
        this->ComparedEndpoints(withRoom, preferred, aCall)) {
-    const double millis =
-      this->EstimateMillis(*state, aCall, state == preferred, aNow);
-    if (!best || millis < best->expectedMillis) {
-      best = ScoredEndpoint{ state, millis };
+    const bool isPreferred = state == preferred;
+    const ScoredEndpoint scored =
+      cost ? this->ScoreAdaptively(*state, aCall, *cost, isPreferred, aNow)
+           : ScoredEndpoint{
+               state, this->EstimateMillis(*state, aCall, isPreferred, aNow)
+             };
+    if (!best || scored.expectedMillis < best->expectedMillis) {
+      best = scored;
     }
   }
   return best;
--- a/dispatch/endpoint_load.cc
+++ b/dispatch/endpoint_load.cc
@@ -73,6 +73,7 @@
 void
 Dispatcher::ExpireReports(TimePoint aNow)
 {
+  this->work.Expire(aNow);
   while (!this->arrivals.empty() &&
          aNow - this->arrivals.front().receivedAt > kMaxReportAge) {
     const ReportArrival& oldest = this->arrivals.front();
@@ -117,9 +118,13 @@
 void
 Dispatcher::OnPeerReport(const std::string& aHost,
                          EndpointLoads aLoads,
-                         TimePoint aNow)
+                         TimePoint aNow,
+                         const EndpointWorks& aWorks)
 {
   this->ExpireReports(aNow);
+  if (this->settings.placement != PlacementMode::kBasic) {
+    this->work.OnPeerReport(aHost, aLoads, aWorks, aNow);
+  }
   PeerReport& report = this->peers[aHost];
   this->CountReport(report.loads, -1);
   this->CountReport(aLoads, 1);
--- a/dispatch/testing/fleet_model.h
+++ b/dispatch/testing/fleet_model.h
@@ -25,6 +25,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <numeric>
@@ -51,6 +52,14 @@
   int slotsPerEngine = 12;
   // Cache memory of an engine; unlimited if 0.
   int64_t cacheTokens = 0;
+  // Hosts report the outstanding work of their calls.
+  bool reportsWork = true;
+  // Spread of the generated tokens: the deviation of their logarithm. Their
+  // median is kOutputTokensPerTurn.
+  double outputSpread = 0;
+  // Clients state the generated tokens times this factor as a hint; no hint if
+  // 0.
+  double hintFactor = 0;
   // Speeds of the first engines; the others have speed 1.
   std::array<double, 3> speeds{ 1, 1, 1 };
   // Fraction of the time for which an engine is slow, by slowFactor and in
@@ -122,7 +131,10 @@
   static constexpr double kDecodeMillisPerToken = 3;
   static constexpr double kPrefillTokensPerMilli = 122;
   static constexpr int kOutputTokensPerTurn = 75;
+  // Where the number varies.
+  static constexpr int64_t kMaxOutputTokens = 1500;
   static constexpr int kNewTokensPerTurn = 600;
+  static constexpr int kTokensPerEvent = 15;
   static constexpr int64_t kTurnPauseMillis = 120;
   // Probability that a turn arrives at a newly drawn host instead of the host
   // of the turn before.
@@ -197,7 +209,9 @@
     std::shared_ptr<Program> program;
     std::vector<PromptPart> prompt;
     double tokensToPrefill = 0;
+    int64_t outputTokens = kOutputTokensPerTurn;
     double tokensToDecode = kOutputTokensPerTurn;
+    int64_t tokensTold = 0;
     int64_t sentAt = 0;
     int64_t firstTokenAt = 0;
   };
@@ -301,6 +315,16 @@
     call.host = aProgram->host;
     call.program = aProgram;
     call.prompt = dispatchCall.prompt;
+    if (this->load.outputSpread > 0) {
+      std::lognormal_distribution<double> tokens(std::log(kOutputTokensPerTurn),
+                                                 this->load.outputSpread);
+      call.outputTokens = std::clamp<int64_t>(
+        static_cast<int64_t>(tokens(this->random)), 1, kMaxOutputTokens);
+      call.tokensToDecode = static_cast<double>(call.outputTokens);
+      dispatchCall.maxOutputTokens = kMaxOutputTokens;
+    }
+    dispatchCall.outputTokensHint = static_cast<int64_t>(
+      static_cast<double>(call.outputTokens) * this->load.hintFactor);
     const auto decision =
       this->hosts[call.host].Submit(dispatchCall, At(this->now));
     if (std::holds_alternative<Refused>(decision)) {
@@ -406,6 +430,7 @@
           this->ReportPace(call, aIndex);
         }
         call.tokensToDecode -= left / kDecodeMillisPerToken;
+        this->TellProgress(call);
       }
       if (call.tokensToDecode > 0) {
         ++i;
@@ -417,6 +442,17 @@
     }
   }
 
+  void TellProgress(Call& aCall)
+  {
+    const auto tokens =
+      aCall.outputTokens -
+      static_cast<int64_t>(std::max(0.0, aCall.tokensToDecode));
+    if (tokens - aCall.tokensTold >= kTokensPerEvent) {
+      aCall.tokensTold = tokens;
+      this->hosts[aCall.host].OnProgress(aCall.id, tokens);
+    }
+  }
+
   void UpdatePace(Engine& aEngine)
   {
     if (this->load.slowFraction == 0 || this->now < aEngine.paceChangesAt) {
@@ -456,7 +492,7 @@
                         { AttemptResult::kSucceeded,
                           Millis(this->now - aCall.sentAt),
                           Millis(this->now - aCall.firstTokenAt),
-                          kOutputTokensPerTurn },
+                          aCall.outputTokens },
                         At(this->now));
     Program& program = *aCall.program;
     program.running = false;
@@ -507,10 +543,12 @@
     }
     for (size_t from = 0; from < this->hosts.size(); ++from) {
       const auto loads = this->hosts[from].OwnLoads();
+      const auto works =
+        this->load.reportsWork ? this->hosts[from].OwnWorks() : EndpointWorks{};
       for (size_t to = 0; to < this->hosts.size(); ++to) {
         if (to != from) {
           this->hosts[to].OnPeerReport(
-            std::to_string(from), loads, At(this->now));
+            std::to_string(from), loads, At(this->now), works);
         }
       }
     }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -63,6 +63,9 @@
   uint64_t sequence = 0;
   // Calls that the host has in flight.
   EndpointLoads endpointLoads;
+  // Their outstanding work. At most kMaxReportedWork entries are sent, the
+  // largest ones; calls without one count at the mean.
+  EndpointWorks work;
   QuotaReports quotaReports;
   // The host cannot reach the platform's store, or is about to stop.
   bool storeUnavailable = false;
@@ -177,6 +180,7 @@
   static constexpr size_t kMaxReportedLeaving = 64;
   static constexpr size_t kMaxReportedRateLimits = 64;
   static constexpr size_t kMaxReportedCold = 64;
+  static constexpr size_t kMaxReportedWork = 16;
   // A request without a response is retransmitted after this time.
   static constexpr Millis kRetransmitInterval{ 12 };
   // Transmissions of a settlement until it is given up.
--- a/fleet/report_wire.cc
+++ b/fleet/report_wire.cc
@@ -83,6 +83,22 @@
   }
 }
 
+void
+WorkToWire(const EndpointWorks& aWorks, fleetwire::LoadReportT& aTable)
+{
+  for (const auto& entry : aWorks) {
+    aTable.work.emplace_back(entry.first, entry.second);
+  }
+  if (aTable.work.size() > FleetLink::kMaxReportedWork) {
+    std::sort(aTable.work.begin(),
+              aTable.work.end(),
+              [](const auto& aLeft, const auto& aRight) {
+                return aLeft.work_ms() > aRight.work_ms();
+              });
+    aTable.work.resize(FleetLink::kMaxReportedWork);
+  }
+}
+
 } // namespace
 
 fleetwire::LoadReportT
@@ -133,6 +149,7 @@
     table.evacuations.push_back(std::move(entry));
   }
   ColdToWire(aReport.coldEndpoints, table);
+  WorkToWire(aReport.work, table);
   if (table.organisations.size() > FleetLink::kMaxReportedOrganisations) {
     std::sort(table.organisations.begin(),
               table.organisations.end(),
@@ -182,6 +199,9 @@
   for (const auto& entry : table.endpoints) {
     report.endpointLoads[entry.endpoint()] = entry.calls();
   }
+  for (const auto& entry : table.work) {
+    report.work[entry.endpoint()] = entry.work_ms();
+  }
   for (const auto& entry : table.organisations) {
     report.quotaReports[entry.organisation()] = {
       entry.demand(), entry.admitted(), entry.begun(), entry.promised()
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -75,6 +75,7 @@
     report.host = aHost;
     report.startTime = aStartTime;
     report.endpointLoads[EndpointHash("e")] = 3;
+    report.work[EndpointHash("e")] = 250;
     report.quotaReports[OrganisationHash("club")] = { 4.5, 100, 7, 80 };
     report.leavingEndpoints = { { "e-9", 1700000000000, 1700000060000 } };
     report.rateLimits = {
@@ -109,6 +110,7 @@
   ASSERT_EQ(this->reports.size(), 1u);
   EXPECT_EQ(this->reports[0].host, "two");
   EXPECT_EQ(this->reports[0].endpointLoads.at(EndpointHash("e")), 3);
+  EXPECT_EQ(this->reports[0].work.at(EndpointHash("e")), 250u);
   EXPECT_EQ(
     this->reports[0].quotaReports.at(OrganisationHash("club")).admittedCalls,
     100u);
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -14,6 +14,29 @@
 // leaves time for its response to arrive.
 constexpr Millis kResponseMargin(5);
 
+std::string
+AgeText(const std::optional<Millis>& aAge)
+{
+  return aAge ? std::to_string(aAge->count()) : "";
+}
+
+void
+AppendInputs(const PlacementInputs& aInputs, LogFields& aFields)
+{
+  const LogFields inputs = {
+    { "own_work_ms", std::to_string(aInputs.ownWorkMillis) },
+    { "other_work_ms", std::to_string(aInputs.otherWorkMillis) },
+    { "work_age_ms", AgeText(aInputs.workAge) },
+    { "slowness", std::to_string(aInputs.slowness) },
+    { "pace_age_ms", AgeText(aInputs.paceAge) },
+    { "uncached_tokens", std::to_string(aInputs.uncachedTokens) },
+    { "predicted_ms", std::to_string(aInputs.predictedMillis) },
+    { "error_factor", std::to_string(aInputs.errorFactor) },
+    { "preferred", aInputs.isPreferred ? "yes" : "no" }
+  };
+  aFields.insert(aFields.end(), inputs.begin(), inputs.end());
+}
+
 } // namespace
 
 void
@@ -28,14 +51,21 @@
   this->placed = true;
   const auto rateLimit = this->state.CallsPerSecond(aPlacement.endpoint);
   const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
-  LogInfo("placed",
-          this->WithCallIds(
-            { { "endpoint", aPlacement.endpoint },
-              { "version", endpoint == nullptr ? "" : endpoint->version },
-              { "rate_limit", rateLimit ? std::to_string(*rateLimit) : "" },
-              { "own_load", std::to_string(aPlacement.ownLoad) },
-              { "other_load", std::to_string(aPlacement.otherLoad) },
-              { "expected_ms", std::to_string(aPlacement.expectedMillis) } }));
+  LogFields fields = {
+    { "endpoint", aPlacement.endpoint },
+    { "version", endpoint == nullptr ? "" : endpoint->version },
+    { "rate_limit", rateLimit ? std::to_string(*rateLimit) : "" },
+    { "own_load", std::to_string(aPlacement.ownLoad) },
+    { "other_load", std::to_string(aPlacement.otherLoad) },
+    { "expected_ms", std::to_string(aPlacement.expectedMillis) }
+  };
+  if (aPlacement.inputs) {
+    this->state.dependencies.metrics.Count(
+      "tanagerseam_adaptive_placements_total",
+      { { "preferred", aPlacement.inputs->isPreferred ? "yes" : "no" } });
+    AppendInputs(*aPlacement.inputs, fields);
+  }
+  LogInfo("placed", this->WithCallIds(std::move(fields)));
   if (!rateLimit) {
     this->StartExchange();
     return;
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -17,6 +17,7 @@
     this->AnnounceStream();
   }
   this->usedTokens += this->tokensPerEvent;
+  this->state.dispatcher.OnProgress(this->dispatchId, this->usedTokens);
   return !this->route->retainsHistory ||
          (this->turnOutput.Append(aData) && this->turnOutput.Append("\n"));
 }
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -62,6 +62,7 @@
     hostReport.host = this->state.settings.host;
     hostReport.startTime = this->state.settings.startTime;
     hostReport.endpointLoads = this->state.dispatcher.OwnLoads();
+    hostReport.work = this->state.dispatcher.OwnWorks();
     hostReport.quotaReports = this->state.quota.OwnReports(now);
     hostReport.quotaReports.merge(this->state.endpointQuota.OwnReports(now));
     hostReport.lostServices = this->state.reach.Lost();
@@ -106,6 +107,9 @@
     metrics.Set("tanagerseam_calls_waiting",
                 {},
                 static_cast<double>(this->state.dispatcher.QueuedCalls()));
+    metrics.Set("tanagerseam_outstanding_work_seconds",
+                {},
+                this->state.dispatcher.OwnWorkMillis() / 1000);
     metrics.Set("tanagerseam_services_lost",
                 {},
                 static_cast<double>(this->state.reach.Lost().size()));
@@ -133,7 +137,7 @@
     this->state.peers.RecordReport(aReport, now);
     this->state.members.OnReport(aReport.host, now);
     this->state.dispatcher.OnPeerReport(
-      aReport.host, aReport.endpointLoads, now);
+      aReport.host, aReport.endpointLoads, now, aReport.work);
     this->state.turnBudgets.RecordHeartbeat(
       aReport.host, !aReport.storeUnavailable, now);
     this->state.quota.OnPeerReport(
