--- a/http/testing/held_memory_test.cc
+++ b/http/testing/held_memory_test.cc
@@ -93,7 +93,7 @@
     this->socket.non_blocking(true);
   }
 
-  void Queue(std::string aBytes) { this->unsent += std::move(aBytes); }
+  void Queue(const std::string& aBytes) { this->unsent += aBytes; }
 
   // Sends and reads at most so many bytes, as far as the connection takes and
   // has them.
