admission: order of calls and use of slots under adaptive placement

Endpoints run calls in order of arrival, so a less urgent call that is sent beyond the slots delays every urgent call sent after it.

Adaptively served services now send turns of programs under way before first turns of the same priority, keep headroom for urgent calls by their share of the recent arrivals, and send only urgent calls and calls about to miss their program's time or their client's deadline beyond the slots. A new call does not overtake a queued call that goes before it. Basic mode is unchanged.

--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -15,18 +15,17 @@
 constexpr Millis kInitialEjection(400);
 constexpr int kMaxEjectionDoublings = 3;
 
-// Order of queued calls. Calls whose program deadline has passed go last;
-// otherwise calls go by priority, then earliest deadline first.
-bool
-IsPlacedBefore(const DispatchCall& aLeft,
-               const DispatchCall& aRight,
-               TimePoint aNow)
+PendingCall
+ToPendingCall(const DispatchCall& aCall, TimePoint aQueuedAt)
 {
-  const bool leftLate = aLeft.programDeadline < aNow;
-  const bool rightLate = aRight.programDeadline < aNow;
-  return std::tie(leftLate, aLeft.priority, aLeft.programDeadline, aLeft.id) <
-         std::tie(
-           rightLate, aRight.priority, aRight.programDeadline, aRight.id);
+  PendingCall pending;
+  pending.id = aCall.id;
+  pending.priority = aCall.priority;
+  pending.beginsProgram = aCall.beginsProgram;
+  pending.queuedAt = aQueuedAt;
+  pending.programDeadline = aCall.programDeadline;
+  pending.deadline = aCall.deadline;
+  return pending;
 }
 
 } // namespace
@@ -107,6 +106,50 @@
   return placement;
 }
 
+bool
+Dispatcher::IsPlacedBefore(const DispatchCall& aLeft,
+                           const DispatchCall& aRight,
+                           TimePoint aNow) const
+{
+  PendingCall left = ToPendingCall(aLeft, aNow);
+  PendingCall right = ToPendingCall(aRight, aNow);
+  // In basic mode, first turns are not told from others.
+  left.beginsProgram &= this->IsAdaptive(aLeft.service);
+  right.beginsProgram &= this->IsAdaptive(aRight.service);
+  return GoesBefore(left, right, aNow);
+}
+
+double
+Dispatcher::SlotFactorOf(const QueuedCall& aQueued, TimePoint aNow)
+{
+  const DispatchCall& call = aQueued.call;
+  if (!this->IsAdaptive(call.service)) {
+    const bool waitedLong =
+      aNow - aQueued.queuedAt >= this->settings.maxSlotWait;
+    return waitedLong ? this->settings.overcommitFactor : 1;
+  }
+  SlotRules rules;
+  rules.maxSlotWait = this->settings.maxSlotWait;
+  rules.overcommitFactor = this->settings.overcommitFactor;
+  const Millis expected(static_cast<int64_t>(this->RouteMillis(call.route)));
+  return SlotFactor(ToPendingCall(call, aQueued.queuedAt),
+                    this->urgencyMixes[call.service],
+                    expected,
+                    rules,
+                    aNow);
+}
+
+bool
+Dispatcher::HasCallAhead(const DispatchCall& aCall, TimePoint aNow) const
+{
+  return std::any_of(this->queue.begin(),
+                     this->queue.end(),
+                     [this, &aCall, aNow](const QueuedCall& aQueued) {
+                       return aQueued.call.service == aCall.service &&
+                              this->IsPlacedBefore(aQueued.call, aCall, aNow);
+                     });
+}
+
 bool
 Dispatcher::WouldMissDeadline(const DispatchCall& aCall, TimePoint aNow)
 {
@@ -120,9 +163,9 @@
   const auto ahead =
     std::count_if(this->queue.begin(),
                   this->queue.end(),
-                  [&aCall, aNow](const QueuedCall& aQueued) {
+                  [this, &aCall, aNow](const QueuedCall& aQueued) {
                     return aQueued.call.service == aCall.service &&
-                           IsPlacedBefore(aQueued.call, aCall, aNow);
+                           this->IsPlacedBefore(aQueued.call, aCall, aNow);
                   });
   // The first in the queue is placed as soon as any rate permits it.
   if (ahead == 0 || !aCall.deadline) {
@@ -152,8 +195,17 @@
       return Refused{ DispatchRefusal::kOverloaded, utilisation };
     }
   }
-  if (const auto best = this->BestEndpoint(aCall, 1, aNow)) {
-    return this->Place(*best, aCall, aNow);
+  const bool isAdaptive = this->IsAdaptive(aCall.service);
+  if (isAdaptive) {
+    this->urgencyMixes[aCall.service].Record(aCall.priority, aNow);
+  }
+  // Under adaptive placement no call overtakes a queued one that goes before
+  // it, so a first turn takes no slot that a program under way waits for.
+  if (!isAdaptive || !this->HasCallAhead(aCall, aNow)) {
+    const double slotFactor = this->SlotFactorOf({ aCall, aNow }, aNow);
+    if (const auto best = this->BestEndpoint(aCall, slotFactor, aNow)) {
+      return this->Place(*best, aCall, aNow);
+    }
   }
   if (this->WouldMissDeadline(aCall, aNow)) {
     return Refused{ DispatchRefusal::kOverloaded,
@@ -167,14 +219,14 @@
 Dispatcher::PlaceQueued(TimePoint aNow)
 {
   this->ExpireReports(aNow);
-  this->queue.sort([aNow](const QueuedCall& aLeft, const QueuedCall& aRight) {
-    return IsPlacedBefore(aLeft.call, aRight.call, aNow);
-  });
+  this->queue.sort(
+    [this, aNow](const QueuedCall& aLeft, const QueuedCall& aRight) {
+      return this->IsPlacedBefore(aLeft.call, aRight.call, aNow);
+    });
   std::vector<Placement> placements;
   for (auto it = this->queue.begin(); it != this->queue.end();) {
-    const bool waitedLong = aNow - it->queuedAt >= this->settings.maxSlotWait;
-    const double slotFactor = waitedLong ? this->settings.overcommitFactor : 1;
-    const auto best = this->BestEndpoint(it->call, slotFactor, aNow);
+    const auto best =
+      this->BestEndpoint(it->call, this->SlotFactorOf(*it, aNow), aNow);
     if (!best) {
       ++it;
       continue;
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -56,7 +56,8 @@
 // Adaptive placement: a service is served either in basic mode, which is what
 // is described so far, or adaptively; see docs/design/contention.md. By default
 // it is served adaptively under contention, or once one of its endpoints has
-// stated its pace.
+// stated its pace. The order of its calls and the slots that they may use are
+// then decided by the rules of admission/admission.h.
 //
 // Ejection: an endpoint that cannot be reached gets no calls for a period that
 // doubles with each consecutive failure, up to a limit. If more than half of a
@@ -80,6 +81,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/admission.h"
 #include "kernel/digest.h"
 #include "kernel/kernel.h"
 
@@ -374,6 +376,15 @@
   }
   // Calls that it can have in flight, by its slots and its rate limit.
   double Capacity(const EndpointState& aState) const;
+  // True if the left call is placed before the right one.
+  bool IsPlacedBefore(const DispatchCall& aLeft,
+                      const DispatchCall& aRight,
+                      TimePoint aNow) const;
+  // The call may be placed on an endpoint with fewer than this many times its
+  // slots in calls.
+  double SlotFactorOf(const QueuedCall& aQueued, TimePoint aNow);
+  // True if a queued call of the same service is placed before the call.
+  bool HasCallAhead(const DispatchCall& aCall, TimePoint aNow) const;
   // True if the rate limits of the call's endpoints do not permit it before its
   // deadline, after the queued calls that are placed before it.
   bool WouldMissDeadline(const DispatchCall& aCall, TimePoint aNow);
@@ -434,6 +445,8 @@
   std::deque<ReportArrival> arrivals;
   // Sums over `peers`.
   EndpointLoads peerLoads;
+  // Recent arrivals by service, of the adaptively served ones.
+  std::map<std::string, UrgencyMix> urgencyMixes;
   // Services of which an endpoint has stated its pace.
   std::set<std::string> pacedServices;
   // Moving averages by route: time of a call, and time per streamed token.
