admission: less urgent programs wait in the queue and are admitted by room

New programs were refused by the service's utilisation alone, to which each queued call added 0.02, so queued drafts got urgent programs refused.

Less urgent first turns now wait, and begin when the utilisation leaves room for the later turns of programs under way; each host uses only its share of that room in the time it takes to hear from all others. What can't begin early enough is refused at once, by the expected wait on arrival or as soon as its time has passed. One of 20 calls may be a program that would starve. A host without peers decides as before for 2 s.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -1,15 +1,35 @@
-// Decides which calls of a contended service go first, and which of them may
-// use the slots of its endpoints.
+// Decides which programs begin at a contended service, which of its calls go
+// first, and which of them may use the slots of its endpoints.
 //
-//   UrgencyMix mix;                       // one for each service
-//   mix.Record(call.priority, now);
+//   ServiceAdmission admission;           // one for each service
+//   ProgramNeeds needs;                   // one for all services
+//   admission.RecordArrival(call.priority, now);
+//   call.need = needs.NeedOf(route, callMillis);
+//   if (call.beginsProgram) {
+//     auto verdict = admission.JudgeFirstTurn(call, queueState, now);
+//     if (verdict.cause) { ... refuse ... }
+//   }
 //   std::sort(..., [now](...) { return GoesBefore(left, right, now); });
-//   double factor = SlotFactor(call, mix, expected, now);
-//   // Send the call to an endpoint with fewer than factor x slots calls.
+//   admission.UpdateRoom({ utilisation, capacity, hosts }, now);
+//   if (admission.HasRoomFor(call, now)) {
+//     double factor = admission.SlotFactor(call, expected, rules, now);
+//     // Send the call to an endpoint with fewer than factor x slots calls.
+//   }
+//   admission.RecordSent(call, now);
+//   needs.RecordSent(route, program, call.beginsProgram, now);
 //
-// Deterministic: the time is an argument, there is no I/O.
+// Deterministic: the time is an argument, there is no I/O. Memory is bounded.
 //
-// Order: calls whose program is past its time go last; otherwise calls go by
+// Admission: first turns of urgent programs are refused by utilisation. Less
+// urgent ones wait in the queue, leave room for the later turns of programs
+// under way, and are refused as soon as they can't begin early enough. The load
+// of other hosts is known late, so each host uses only its share of the room in
+// the time that it takes to hear from all others. One of
+// kCallsPerStarving calls that a host sends to a service may be a less urgent
+// first turn that has waited for half of its time, whatever the utilisation, so
+// that no route starves.
+//
+// Order: calls whose program can't end in time go last; otherwise calls go by
 // priority, then turns of programs under way before first turns, then earliest
 // deadline first.
 //
@@ -17,13 +37,17 @@
 // once a call has been sent. A call is urgent if no call of a lower priority
 // number has arrived lately for its service. Less urgent calls are sent only to
 // endpoints with a free slot and headroom for urgent ones. Beyond the slots go
-// only urgent calls that have waited for a slot, and calls that are about to
-// miss their program's time or their client's deadline.
+// only urgent calls that have waited for a slot, and turns under way that are
+// about to miss their program's time or their client's deadline.
 #ifndef TANAGERSEAM_ADMISSION_ADMISSION_H_
 #define TANAGERSEAM_ADMISSION_ADMISSION_H_
 
+#include <list>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
 
 #include "kernel/kernel.h"
 
@@ -41,6 +65,45 @@
   TimePoint programDeadline{};
   // When the client stops waiting; never, if unset.
   std::optional<TimePoint> deadline;
+  // How long the program is expected to take, for a first turn.
+  Millis need{ 0 };
+};
+
+// When the program has to begin to be of use: one that ends after twice its
+// stated time, or after its client's deadline, is taken to be of none.
+TimePoint
+LatestBegin(const PendingCall& aCall);
+
+// Why a call was refused for load; the names are values of metrics and logs.
+enum class AdmissionCause
+{
+  // The service's utilisation is at the limit of the call's priority.
+  kUtilisation,
+  // The rates that endpoints name don't serve the call before its deadline.
+  kRates,
+  // The queue is too long for the program to begin early enough.
+  kQueue,
+  // The program has waited and can't begin early enough any more.
+  kWaited,
+};
+
+std::string_view
+NameOf(AdmissionCause aCause);
+
+// A number of events that halves every kHalfLife.
+class DecayedCount
+{
+public:
+  static constexpr Millis kHalfLife{ 3000 };
+
+  void Add(double aCount, TimePoint aNow);
+  double At(TimePoint aNow) const;
+  // Events per millisecond, if they are evenly spaced.
+  double Rate(TimePoint aNow) const;
+
+private:
+  double count = 0;
+  TimePoint updatedAt{};
 };
 
 // The recent arrivals of a service by priority.
@@ -54,14 +117,6 @@
   double MoreUrgentFraction(int aPriority, TimePoint aNow) const;
 
 private:
-  struct DecayedCount
-  {
-    double count = 0;
-    TimePoint updatedAt{};
-  };
-
-  static double CountAt(const DecayedCount& aCount, TimePoint aNow);
-
   // By priority; at most kMaxPriorities.
   std::map<int, DecayedCount> counts;
 };
@@ -78,14 +133,116 @@
   double overcommitFactor = 1.5;
 };
 
-// The call may be sent to an endpoint with fewer than this many times its slots
-// in calls. aExpected: how long the call is expected to take.
-double
-SlotFactor(const PendingCall& aCall,
-           const UrgencyMix& aMix,
-           Millis aExpected,
-           const SlotRules& aRules,
-           TimePoint aNow);
+// How long programs of a route take, from the calls that this host sends. Calls
+// of one program arrive at several hosts, so the time is inferred from the mean
+// age of a program at its later calls, which is half of its duration if its
+// calls are evenly spaced and reach hosts at random.
+class ProgramNeeds
+{
+public:
+  // Programs whose begin is remembered; the oldest are evicted.
+  static constexpr size_t kMaxPrograms = 2048;
+  static constexpr size_t kMaxRoutes = 256;
+
+  void RecordSent(const std::string& aRoute,
+                  const std::string& aProgram,
+                  bool aBegins,
+                  TimePoint aNow);
+  // aCall: how long one call is expected to take.
+  Millis NeedOf(const std::string& aRoute, Millis aCall) const;
+
+private:
+  struct RouteStatistics
+  {
+    double firstCalls = 0;
+    double calls = 0;
+    // Moving average of a program's age at its later calls, in milliseconds.
+    double meanAge = 0;
+  };
+  struct Begin
+  {
+    std::string program;
+    TimePoint at{};
+  };
+
+  std::unordered_map<std::string, RouteStatistics> routes;
+  // In order of their begin, and an index by program.
+  std::list<Begin> begins;
+  std::unordered_map<std::string, std::list<Begin>::iterator> beginOf;
+};
+
+// What a host knows about its queue for a service when a first turn arrives.
+struct QueueState
+{
+  // Calls in flight divided by capacity.
+  double utilisation = 0;
+  double utilisationLimit = 1;
+  // Queued calls and queued first turns that go before the call.
+  size_t callsAhead = 0;
+  size_t firstTurnsAhead = 0;
+  // First turns per millisecond that this host could send if the service did
+  // nothing else.
+  double maxFirstTurnRate = 0;
+};
+
+struct FirstTurnVerdict
+{
+  // Unset if the call may be queued or sent.
+  std::optional<AdmissionCause> cause;
+  double utilisation = 0;
+  Millis expectedWait{ 0 };
+};
+
+// The room of a service, as known to one host.
+struct ServiceRoom
+{
+  // Calls in flight divided by capacity.
+  double utilisation = 0;
+  // Calls that its endpoints can have in flight.
+  double capacity = 0;
+  size_t hosts = 1;
+};
+
+// The decisions of one host for one service.
+class ServiceAdmission
+{
+public:
+  // One of so many calls may be a first turn that would starve.
+  static constexpr int kCallsPerStarving = 20;
+
+  void RecordArrival(int aPriority, TimePoint aNow);
+  void RecordSent(const PendingCall& aCall, TimePoint aNow);
+  bool IsUrgent(const PendingCall& aCall, TimePoint aNow) const;
+  FirstTurnVerdict JudgeFirstTurn(const PendingCall& aCall,
+                                  const QueueState& aQueue,
+                                  TimePoint aNow) const;
+  // False for a less urgent first turn while the service leaves no room for the
+  // later turns of its program, or other hosts may have used the room.
+  bool HasRoomFor(const PendingCall& aCall, TimePoint aNow) const;
+  // Accumulates this host's share of the room, from which HasRoomFor decides.
+  void UpdateRoom(const ServiceRoom& aRoom, TimePoint aNow);
+  // True if a queued first turn can't begin early enough any more.
+  bool HasMissedItsBegin(const PendingCall& aCall, TimePoint aNow) const;
+  // The call may be sent to an endpoint with fewer than this many times its
+  // slots in calls. aExpected: how long the call is expected to take.
+  double SlotFactor(const PendingCall& aCall,
+                    Millis aExpected,
+                    const SlotRules& aRules,
+                    TimePoint aNow) const;
+
+private:
+  bool IsLessUrgentFirstTurn(const PendingCall& aCall, TimePoint aNow) const;
+  // A less urgent first turn that has waited for long and may go now.
+  bool MayGoAsStarving(const PendingCall& aCall, TimePoint aNow) const;
+
+  UrgencyMix mix;
+  // Less urgent first turns sent.
+  DecayedCount firstTurnsSent;
+  int sentSinceStarving = 0;
+  // Less urgent first turns that this host may send now, and as of when.
+  double room = 0;
+  TimePoint roomAt{};
+};
 
 } // namespace tanagerseam
 
--- a/admission/order.cc
+++ b/admission/order.cc
@@ -1,4 +1,4 @@
-// The order of calls, and the slots that they may use.
+// The order of calls, and the recent arrivals by priority.
 #include "admission/admission.h"
 
 #include <algorithm>
@@ -9,46 +9,47 @@
 
 namespace {
 
-// Half-life of the counted arrivals. A priority is forgotten after about ten
-// half-lives without a call, which outlasts the gaps between bursts.
-constexpr double kHalfLifeMillis = 3000;
+// A priority is forgotten after about ten half-lives without a call, which
+// outlasts the gaps between bursts.
 constexpr double kForgottenCount = 0.001;
 // Priorities come from the configuration; the limit bounds the memory.
 constexpr size_t kMaxPriorities = 32;
-// Upper limit of the fraction of slots that less urgent calls leave free: one
-// of six slots.
-constexpr double kMaxHeadroom = 0.2;
-// A call is about to miss its program's time if less than this many times its
-// expected duration is left.
-constexpr double kUrgentSlack = 1.5;
-// A call that has waited for this fraction of its client's time may be sent
-// beyond the slots, whatever its priority, so that no call starves.
-constexpr double kMaxWaitFraction = 0.5;
+// A program counts as able to end in time if so many times its expected time is
+// left. Programs vary; 0.75 let the queue begin programs that just missed.
+constexpr double kLeastNeed = 1.2;
 
 bool
-IsAboutToMiss(const PendingCall& aCall, Millis aExpected, TimePoint aNow)
+CannotEndInTime(const PendingCall& aCall, TimePoint aNow)
 {
-  const auto left = aCall.programDeadline - aNow;
-  return left >= Millis(0) && left < aExpected * kUrgentSlack;
+  return aCall.programDeadline < aNow + aCall.need * kLeastNeed;
 }
 
-bool
-HasWaitedTooLong(const PendingCall& aCall, TimePoint aNow)
+double
+HalfLives(std::chrono::duration<double, std::milli> aTime)
 {
-  if (!aCall.deadline) {
-    return false;
-  }
-  return aNow - aCall.queuedAt >
-         (*aCall.deadline - aCall.queuedAt) * kMaxWaitFraction;
+  return aTime / DecayedCount::kHalfLife;
 }
 
 } // namespace
 
 double
-UrgencyMix::CountAt(const DecayedCount& aCount, TimePoint aNow)
+DecayedCount::At(TimePoint aNow) const
 {
-  const std::chrono::duration<double, std::milli> age = aNow - aCount.updatedAt;
-  return aCount.count * std::exp2(-age.count() / kHalfLifeMillis);
+  return this->count * std::exp2(-HalfLives(aNow - this->updatedAt));
+}
+
+void
+DecayedCount::Add(double aCount, TimePoint aNow)
+{
+  this->count = this->At(aNow) + aCount;
+  this->updatedAt = aNow;
+}
+
+double
+DecayedCount::Rate(TimePoint aNow) const
+{
+  return this->At(aNow) * std::log(2.0) /
+         static_cast<double>(kHalfLife.count());
 }
 
 void
@@ -61,7 +62,7 @@
     }
     found = this->counts.emplace(aPriority, DecayedCount{}).first;
   }
-  found->second = { CountAt(found->second, aNow) + 1, aNow };
+  found->second.Add(1, aNow);
 }
 
 bool
@@ -70,7 +71,7 @@
   return std::none_of(this->counts.begin(),
                       this->counts.lower_bound(aPriority),
                       [aNow](const auto& aEntry) {
-                        return CountAt(aEntry.second, aNow) > kForgottenCount;
+                        return aEntry.second.At(aNow) > kForgottenCount;
                       });
 }
 
@@ -80,7 +81,7 @@
   double moreUrgent = 0;
   double all = 0;
   for (const auto& entry : this->counts) {
-    const double count = CountAt(entry.second, aNow);
+    const double count = entry.second.At(aNow);
     moreUrgent += entry.first < aPriority ? count : 0;
     all += count;
   }
@@ -90,8 +91,8 @@
 bool
 GoesBefore(const PendingCall& aLeft, const PendingCall& aRight, TimePoint aNow)
 {
-  const bool leftLate = aLeft.programDeadline < aNow;
-  const bool rightLate = aRight.programDeadline < aNow;
+  const bool leftLate = CannotEndInTime(aLeft, aNow);
+  const bool rightLate = CannotEndInTime(aRight, aNow);
   return std::tie(leftLate,
                   aLeft.priority,
                   aLeft.beginsProgram,
@@ -103,25 +104,4 @@
                                        aRight.id);
 }
 
-double
-SlotFactor(const PendingCall& aCall,
-           const UrgencyMix& aMix,
-           Millis aExpected,
-           const SlotRules& aRules,
-           TimePoint aNow)
-{
-  const bool isUrgent = aMix.IsUrgent(aCall.priority, aNow);
-  const bool waitedLong = aNow - aCall.queuedAt >= aRules.maxSlotWait;
-  const bool overcommits = isUrgent || IsAboutToMiss(aCall, aExpected, aNow) ||
-                           HasWaitedTooLong(aCall, aNow);
-  if (waitedLong && overcommits) {
-    return aRules.overcommitFactor;
-  }
-  if (isUrgent) {
-    return 1;
-  }
-  return 1 -
-         std::min(kMaxHeadroom, aMix.MoreUrgentFraction(aCall.priority, aNow));
-}
-
 } // namespace tanagerseam
--- a/admission/testing/order_test.cc
+++ b/admission/testing/order_test.cc
@@ -49,11 +49,11 @@
 protected:
   double FactorOf(const PendingCall& aCall, int64_t aNowMillis) const
   {
-    return SlotFactor(
-      aCall, this->mix, Millis(200), SlotRules{}, At(aNowMillis));
+    return this->admission.SlotFactor(
+      aCall, Millis(200), SlotRules{}, At(aNowMillis));
   }
 
-  UrgencyMix mix;
+  ServiceAdmission admission;
 };
 
 // Guards against less urgent calls that fill the endpoints' queues, which
@@ -61,8 +61,8 @@
 TEST_F(SlotFactorTest, OnlyUrgentCallsGoBeyondTheSlots)
 {
   for (int i = 0; i < 4; ++i) {
-    this->mix.Record(0, At(0));
-    this->mix.Record(2, At(0));
+    this->admission.RecordArrival(0, At(0));
+    this->admission.RecordArrival(2, At(0));
   }
   EXPECT_EQ(this->FactorOf(CallOf(0), 10), 1);
   EXPECT_EQ(this->FactorOf(CallOf(0), 50), 1.5);
@@ -87,15 +87,15 @@
 // Guards against slots that stay idle where no urgent calls arrive.
 TEST_F(SlotFactorTest, HeadroomFollowsTheUrgentArrivals)
 {
-  this->mix.Record(2, At(0));
+  this->admission.RecordArrival(2, At(0));
   EXPECT_EQ(this->FactorOf(CallOf(2), 10), 1);
   EXPECT_EQ(this->FactorOf(CallOf(2), 50), 1.5);
   {
     SCOPED_TRACE("few urgent calls, little headroom");
     for (int i = 0; i < 98; ++i) {
-      this->mix.Record(2, At(0));
+      this->admission.RecordArrival(2, At(0));
     }
-    this->mix.Record(0, At(0));
+    this->admission.RecordArrival(0, At(0));
     EXPECT_NEAR(this->FactorOf(CallOf(2), 0), 0.99, 0.001);
   }
   {
--- a/dispatch/dispatch.cc
+++ b/dispatch/dispatch.cc
@@ -15,19 +15,6 @@
 constexpr Millis kInitialEjection(400);
 constexpr int kMaxEjectionDoublings = 3;
 
-PendingCall
-ToPendingCall(const DispatchCall& aCall, TimePoint aQueuedAt)
-{
-  PendingCall pending;
-  pending.id = aCall.id;
-  pending.priority = aCall.priority;
-  pending.beginsProgram = aCall.beginsProgram;
-  pending.queuedAt = aQueuedAt;
-  pending.programDeadline = aCall.programDeadline;
-  pending.deadline = aCall.deadline;
-  return pending;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(DispatchSettings aSettings)
@@ -106,48 +93,163 @@
   return placement;
 }
 
-bool
-Dispatcher::IsPlacedBefore(const DispatchCall& aLeft,
-                           const DispatchCall& aRight,
-                           TimePoint aNow) const
+Millis
+Dispatcher::ExpectedMillis(const DispatchCall& aCall) const
 {
-  PendingCall left = ToPendingCall(aLeft, aNow);
-  PendingCall right = ToPendingCall(aRight, aNow);
+  return Millis(static_cast<int64_t>(this->RouteMillis(aCall.route)));
+}
+
+PendingCall
+Dispatcher::MakePending(const DispatchCall& aCall, TimePoint aQueuedAt) const
+{
+  PendingCall pending;
+  pending.id = aCall.id;
+  pending.priority = aCall.priority;
+  pending.queuedAt = aQueuedAt;
+  pending.programDeadline = aCall.programDeadline;
+  pending.deadline = aCall.deadline;
   // In basic mode, first turns are not told from others.
-  left.beginsProgram &= this->IsAdaptive(aLeft.service);
-  right.beginsProgram &= this->IsAdaptive(aRight.service);
-  return GoesBefore(left, right, aNow);
+  if (aCall.beginsProgram && this->IsAdaptive(aCall.service)) {
+    pending.beginsProgram = true;
+    pending.need =
+      this->programNeeds.NeedOf(aCall.route, this->ExpectedMillis(aCall));
+  }
+  return pending;
 }
 
 double
 Dispatcher::SlotFactorOf(const QueuedCall& aQueued, TimePoint aNow)
 {
-  const DispatchCall& call = aQueued.call;
-  if (!this->IsAdaptive(call.service)) {
+  const std::string& service = aQueued.call.service;
+  if (!this->IsAdaptive(service)) {
     const bool waitedLong =
-      aNow - aQueued.queuedAt >= this->settings.maxSlotWait;
+      aNow - aQueued.pending.queuedAt >= this->settings.maxSlotWait;
     return waitedLong ? this->settings.overcommitFactor : 1;
   }
+  ServiceAdmission& admission = this->admissions[service];
+  if (aQueued.pending.beginsProgram) {
+    admission.UpdateRoom({ this->ServiceUtilisation(service, aNow),
+                           this->ServiceCapacity(service),
+                           this->fleetSize },
+                         aNow);
+    if (!admission.HasRoomFor(aQueued.pending, aNow)) {
+      return 0;
+    }
+  }
   SlotRules rules;
   rules.maxSlotWait = this->settings.maxSlotWait;
   rules.overcommitFactor = this->settings.overcommitFactor;
-  const Millis expected(static_cast<int64_t>(this->RouteMillis(call.route)));
-  return SlotFactor(ToPendingCall(call, aQueued.queuedAt),
-                    this->urgencyMixes[call.service],
-                    expected,
-                    rules,
-                    aNow);
+  return admission.SlotFactor(
+    aQueued.pending, this->ExpectedMillis(aQueued.call), rules, aNow);
+}
+
+std::optional<Placement>
+Dispatcher::TryPlace(const QueuedCall& aQueued,
+                     double aSlotFactor,
+                     TimePoint aNow)
+{
+  if (aSlotFactor <= 0) {
+    return std::nullopt;
+  }
+  const DispatchCall& call = aQueued.call;
+  const auto best = this->BestEndpoint(call, aSlotFactor, aNow);
+  if (!best) {
+    return std::nullopt;
+  }
+  if (this->IsAdaptive(call.service)) {
+    this->admissions[call.service].RecordSent(aQueued.pending, aNow);
+    this->programNeeds.RecordSent(
+      call.route, call.cacheGroup, call.beginsProgram, aNow);
+  }
+  return this->Place(*best, call, aNow);
+}
+
+size_t
+Dispatcher::CallsAhead(const PendingCall& aPending,
+                       const std::string& aService,
+                       bool aOnlyFirstTurns,
+                       TimePoint aNow) const
+{
+  return static_cast<size_t>(std::count_if(
+    this->queue.begin(), this->queue.end(), [&](const QueuedCall& aQueued) {
+      return aQueued.call.service == aService &&
+             (!aOnlyFirstTurns || aQueued.call.beginsProgram) &&
+             GoesBefore(aQueued.pending, aPending, aNow);
+    }));
 }
 
 bool
-Dispatcher::HasCallAhead(const DispatchCall& aCall, TimePoint aNow) const
+Dispatcher::HasLearned(TimePoint aNow) const
 {
-  return std::any_of(this->queue.begin(),
-                     this->queue.end(),
-                     [this, &aCall, aNow](const QueuedCall& aQueued) {
-                       return aQueued.call.service == aCall.service &&
-                              this->IsPlacedBefore(aQueued.call, aCall, aNow);
-                     });
+  return !this->arrivals.empty() ||
+         (this->firstCallAt && aNow - *this->firstCallAt >= kLearningTime);
+}
+
+std::optional<Millis>
+Dispatcher::ReportAge(TimePoint aNow) const
+{
+  if (this->arrivals.empty()) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(aNow -
+                                            this->arrivals.back().receivedAt);
+}
+
+double
+Dispatcher::ServiceCapacity(const std::string& aService) const
+{
+  double capacity = 0;
+  for (const auto& entry : this->endpoints) {
+    const EndpointState& state = entry.second;
+    if (state.service == aService && state.takesCalls) {
+      capacity += this->Capacity(state);
+    }
+  }
+  return capacity;
+}
+
+std::optional<Refused>
+Dispatcher::RefuseByUtilisation(const DispatchCall& aCall, TimePoint aNow)
+{
+  const double limit = this->settings.admissionLimit -
+                       this->settings.admissionLimitStep * aCall.priority;
+  double utilisation = this->ServiceUtilisation(aCall.service, aNow);
+  for (const QueuedCall& queued : this->queue) {
+    utilisation += queued.call.service == aCall.service ? 0.02 : 0;
+  }
+  if (utilisation < limit) {
+    return std::nullopt;
+  }
+  Refused refused{ DispatchRefusal::kOverloaded, utilisation };
+  refused.reportAge = this->ReportAge(aNow);
+  return refused;
+}
+
+std::optional<Refused>
+Dispatcher::RefuseFirstTurn(const DispatchCall& aCall, TimePoint aNow)
+{
+  const PendingCall pending = this->MakePending(aCall, aNow);
+  QueueState state;
+  state.utilisation = this->ServiceUtilisation(aCall.service, aNow);
+  state.utilisationLimit = this->settings.admissionLimit -
+                           this->settings.admissionLimitStep * aCall.priority;
+  state.callsAhead = this->CallsAhead(pending, aCall.service, false, aNow);
+  state.firstTurnsAhead = this->CallsAhead(pending, aCall.service, true, aNow);
+  state.maxFirstTurnRate = this->ServiceCapacity(aCall.service) /
+                           static_cast<double>(this->fleetSize) /
+                           std::max(1.0, MillisOf(pending.need));
+  const FirstTurnVerdict verdict =
+    this->admissions[aCall.service].JudgeFirstTurn(pending, state, aNow);
+  if (!verdict.cause) {
+    return std::nullopt;
+  }
+  return Refused{ DispatchRefusal::kOverloaded,
+                  verdict.utilisation,
+                  *verdict.cause,
+                  state.callsAhead,
+                  verdict.expectedWait,
+                  pending.need,
+                  this->ReportAge(aNow) };
 }
 
 bool
@@ -160,13 +262,8 @@
     }
     callsPerSecond += *state->endpoint.callsPerSecond;
   }
-  const auto ahead =
-    std::count_if(this->queue.begin(),
-                  this->queue.end(),
-                  [this, &aCall, aNow](const QueuedCall& aQueued) {
-                    return aQueued.call.service == aCall.service &&
-                           this->IsPlacedBefore(aQueued.call, aCall, aNow);
-                  });
+  const size_t ahead = this->CallsAhead(
+    this->MakePending(aCall, aNow), aCall.service, false, aNow);
   // The first in the queue is placed as soon as any rate permits it.
   if (ahead == 0 || !aCall.deadline) {
     return false;
@@ -184,34 +281,37 @@
   if (this->Candidates(aCall, aNow).empty()) {
     return Refused{ DispatchRefusal::kNoEndpoint, 0 };
   }
-  if (aCall.beginsProgram) {
-    const double limit = this->settings.admissionLimit -
-                         this->settings.admissionLimitStep * aCall.priority;
-    double utilisation = this->ServiceUtilisation(aCall.service, aNow);
-    for (const QueuedCall& queued : this->queue) {
-      utilisation += queued.call.service == aCall.service ? 0.02 : 0;
-    }
-    if (utilisation >= limit) {
-      return Refused{ DispatchRefusal::kOverloaded, utilisation };
-    }
-  }
   const bool isAdaptive = this->IsAdaptive(aCall.service);
   if (isAdaptive) {
-    this->urgencyMixes[aCall.service].Record(aCall.priority, aNow);
+    this->firstCallAt = this->firstCallAt.value_or(aNow);
+    this->admissions[aCall.service].RecordArrival(aCall.priority, aNow);
   }
+  if (aCall.beginsProgram) {
+    const auto refused = isAdaptive && this->HasLearned(aNow)
+                           ? this->RefuseFirstTurn(aCall, aNow)
+                           : this->RefuseByUtilisation(aCall, aNow);
+    if (refused) {
+      return *refused;
+    }
+  }
+  const QueuedCall queued{ aCall, this->MakePending(aCall, aNow) };
   // Under adaptive placement no call overtakes a queued one that goes before
   // it, so a first turn takes no slot that a program under way waits for.
-  if (!isAdaptive || !this->HasCallAhead(aCall, aNow)) {
-    const double slotFactor = this->SlotFactorOf({ aCall, aNow }, aNow);
-    if (const auto best = this->BestEndpoint(aCall, slotFactor, aNow)) {
-      return this->Place(*best, aCall, aNow);
+  if (!isAdaptive ||
+      this->CallsAhead(queued.pending, aCall.service, false, aNow) == 0) {
+    const auto placement =
+      this->TryPlace(queued, this->SlotFactorOf(queued, aNow), aNow);
+    if (placement) {
+      return *placement;
     }
   }
   if (this->WouldMissDeadline(aCall, aNow)) {
-    return Refused{ DispatchRefusal::kOverloaded,
-                    this->ServiceUtilisation(aCall.service, aNow) };
+    Refused refused{ DispatchRefusal::kOverloaded,
+                     this->ServiceUtilisation(aCall.service, aNow) };
+    refused.cause = AdmissionCause::kRates;
+    return refused;
   }
-  this->queue.push_back({ aCall, aNow });
+  this->queue.push_back(queued);
   return Queued{ this->queue.size() - 1 };
 }
 
@@ -219,24 +319,63 @@
 Dispatcher::PlaceQueued(TimePoint aNow)
 {
   this->ExpireReports(aNow);
-  this->queue.sort(
-    [this, aNow](const QueuedCall& aLeft, const QueuedCall& aRight) {
-      return this->IsPlacedBefore(aLeft.call, aRight.call, aNow);
-    });
+  for (QueuedCall& queued : this->queue) {
+    queued.pending = this->MakePending(queued.call, queued.pending.queuedAt);
+  }
+  this->queue.sort([aNow](const QueuedCall& aLeft, const QueuedCall& aRight) {
+    return GoesBefore(aLeft.pending, aRight.pending, aNow);
+  });
+  // The largest slot factor at which a call found no endpoint, by service.
+  // Loads only rise within this loop, so other calls need not search at it.
+  std::map<std::string, double> fullAt;
   std::vector<Placement> placements;
   for (auto it = this->queue.begin(); it != this->queue.end();) {
-    const auto best =
-      this->BestEndpoint(it->call, this->SlotFactorOf(*it, aNow), aNow);
-    if (!best) {
-      ++it;
+    const DispatchCall& call = it->call;
+    const double slotFactor = this->SlotFactorOf(*it, aNow);
+    double& full = fullAt[call.service];
+    std::optional<Placement> placement;
+    if (slotFactor > full) {
+      placement = this->TryPlace(*it, slotFactor, aNow);
+    }
+    if (placement) {
+      placements.push_back(*placement);
+      it = this->queue.erase(it);
       continue;
     }
-    placements.push_back(this->Place(*best, it->call, aNow));
-    it = this->queue.erase(it);
+    const bool mayGoAnywhere =
+      call.excludedEndpoints.empty() && !call.version && !call.allowedRegions;
+    full = mayGoAnywhere ? std::max(full, slotFactor) : full;
+    ++it;
   }
   return placements;
 }
 
+std::vector<MissedCall>
+Dispatcher::DropMissed(TimePoint aNow)
+{
+  std::vector<MissedCall> missed;
+  for (const QueuedCall& queued : this->queue) {
+    const std::string& service = queued.call.service;
+    if (!queued.pending.beginsProgram ||
+        !this->admissions[service].HasMissedItsBegin(queued.pending, aNow)) {
+      continue;
+    }
+    const double utilisation = this->ServiceUtilisation(service, aNow);
+    missed.push_back({ queued.pending.id,
+                       { DispatchRefusal::kOverloaded,
+                         utilisation,
+                         AdmissionCause::kWaited,
+                         0,
+                         Millis(0),
+                         queued.pending.need,
+                         this->ReportAge(aNow) } });
+  }
+  for (const MissedCall& call : missed) {
+    this->RemoveQueued(call.id);
+  }
+  return missed;
+}
+
 std::vector<uint64_t>
 Dispatcher::DropUnservable(TimePoint aNow)
 {
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -56,8 +56,9 @@
 // Adaptive placement: a service is served either in basic mode, which is what
 // is described so far, or adaptively; see docs/design/contention.md. By default
 // it is served adaptively under contention, or once one of its endpoints has
-// stated its pace. The order of its calls and the slots that they may use are
-// then decided by the rules of admission/admission.h.
+// stated its pace. Which programs begin, the order of calls and the slots that
+// they may use are then decided by the rules of admission/admission.h, once the
+// host has heard from peers or has run for kLearningTime.
 //
 // Ejection: an endpoint that cannot be reached gets no calls for a period that
 // doubles with each consecutive failure, up to a limit. If more than half of a
@@ -197,6 +198,23 @@
   // Calls in flight at the service divided by its slots, plus an allowance for
   // each queued call.
   double utilisation = 0;
+  // Why the call is refused as kOverloaded.
+  AdmissionCause cause = AdmissionCause::kUtilisation;
+  // Inputs of the decision, for the log: queued calls that go before the call,
+  // how long it would wait and its program would take, and the age of the
+  // newest report of another host; unset without any.
+  size_t ahead = 0;
+  Millis expectedWait{ 0 };
+  Millis need{ 0 };
+  std::optional<Millis> reportAge;
+};
+
+// A queued call that was removed from the queue because its program can't begin
+// early enough any more.
+struct MissedCall
+{
+  uint64_t id = 0;
+  Refused refused;
 };
 
 using DispatchDecision = std::variant<Placement, Queued, Refused>;
@@ -259,6 +277,10 @@
   // Load reports of hosts and endpoints expire at this age.
   static constexpr Millis kMaxReportAge{ 1500 };
 
+  // How long a host that hears from no peer decides about new programs as in
+  // basic mode.
+  static constexpr Millis kLearningTime{ 2000 };
+
   explicit Dispatcher(DispatchSettings aSettings);
 
   // Replaces the usable endpoints of a service. The state of a removed endpoint
@@ -278,6 +300,9 @@
   std::vector<Placement> PlaceQueued(TimePoint aNow);
   // Removes from the queue and returns the calls that no endpoint may get.
   std::vector<uint64_t> DropUnservable(TimePoint aNow);
+  // Removes from the queue and returns the first turns that have waited too
+  // long.
+  std::vector<MissedCall> DropMissed(TimePoint aNow);
   void RemoveQueued(uint64_t aCallId);
   // Ignored for a call that is not in flight.
   void OnAttemptEnded(uint64_t aCallId,
@@ -341,7 +366,8 @@
   struct QueuedCall
   {
     DispatchCall call;
-    TimePoint queuedAt{};
+    // As of the last look at the queue.
+    PendingCall pending;
   };
   struct ScoredEndpoint
   {
@@ -376,15 +402,32 @@
   }
   // Calls that it can have in flight, by its slots and its rate limit.
   double Capacity(const EndpointState& aState) const;
-  // True if the left call is placed before the right one.
-  bool IsPlacedBefore(const DispatchCall& aLeft,
-                      const DispatchCall& aRight,
-                      TimePoint aNow) const;
+  // Admission by utilisation alone: in basic mode, and before this host has
+  // learned about the service.
+  std::optional<Refused> RefuseByUtilisation(const DispatchCall& aCall,
+                                             TimePoint aNow);
+  // Admission of the first call of a program of an adaptively served service.
+  std::optional<Refused> RefuseFirstTurn(const DispatchCall& aCall,
+                                         TimePoint aNow);
+  bool HasLearned(TimePoint aNow) const;
+  PendingCall MakePending(const DispatchCall& aCall, TimePoint aQueuedAt) const;
+  Millis ExpectedMillis(const DispatchCall& aCall) const;
+  // Places the call if it may be sent now and an endpoint has room for it.
+  std::optional<Placement> TryPlace(const QueuedCall& aQueued,
+                                    double aSlotFactor,
+                                    TimePoint aNow);
   // The call may be placed on an endpoint with fewer than this many times its
-  // slots in calls.
+  // slots in calls; 0 if it has to wait.
   double SlotFactorOf(const QueuedCall& aQueued, TimePoint aNow);
-  // True if a queued call of the same service is placed before the call.
-  bool HasCallAhead(const DispatchCall& aCall, TimePoint aNow) const;
+  // Queued calls of the same service that are placed before the call.
+  size_t CallsAhead(const PendingCall& aPending,
+                    const std::string& aService,
+                    bool aOnlyFirstTurns,
+                    TimePoint aNow) const;
+  // Calls that all endpoints of the service can have in flight.
+  double ServiceCapacity(const std::string& aService) const;
+  // Age of the newest report of another host.
+  std::optional<Millis> ReportAge(TimePoint aNow) const;
   // True if the rate limits of the call's endpoints do not permit it before its
   // deadline, after the queued calls that are placed before it.
   bool WouldMissDeadline(const DispatchCall& aCall, TimePoint aNow);
@@ -445,8 +488,11 @@
   std::deque<ReportArrival> arrivals;
   // Sums over `peers`.
   EndpointLoads peerLoads;
-  // Recent arrivals by service, of the adaptively served ones.
-  std::map<std::string, UrgencyMix> urgencyMixes;
+  // By service, of the adaptively served ones.
+  std::map<std::string, ServiceAdmission> admissions;
+  ProgramNeeds programNeeds;
+  // When the first call arrived.
+  std::optional<TimePoint> firstCallAt;
   // Services of which an endpoint has stated its pace.
   std::set<std::string> pacedServices;
   // Moving averages by route: time of a call, and time per streamed token.
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -454,10 +454,40 @@
                  "no endpoint in " + absl::StrJoin(*allowed, ","));
     return;
   }
-  this->RefuseWithRetryAfter(
-    noEndpoint ? RefusalReason::kNoEndpoint : RefusalReason::kOverloaded,
-    "service utilisation " + std::to_string(aRefused.utilisation),
-    this->DrawRetryAfter());
+  if (!noEndpoint) {
+    this->RefuseForLoad(aRefused);
+    return;
+  }
+  this->RefuseWithRetryAfter(RefusalReason::kNoEndpoint,
+                             "service utilisation " +
+                               std::to_string(aRefused.utilisation),
+                             this->DrawRetryAfter());
+}
+
+void
+CallFlow::RefuseForLoad(const Refused& aRefused)
+{
+  const std::string cause(NameOf(aRefused.cause));
+  this->state.dependencies.metrics.Count(
+    "tanagerseam_admission_refusals_total",
+    { { "cause", cause }, { "priority", std::to_string(this->priority) } });
+  LogInfo(
+    "not_admitted",
+    this->WithCallIds(
+      { { "cause", cause },
+        { "service", this->service },
+        { "priority", std::to_string(this->priority) },
+        { "utilisation", std::to_string(aRefused.utilisation) },
+        { "ahead", std::to_string(aRefused.ahead) },
+        { "expected_wait_ms", std::to_string(aRefused.expectedWait.count()) },
+        { "need_ms", std::to_string(aRefused.need.count()) },
+        { "report_age_ms",
+          aRefused.reportAge ? std::to_string(aRefused.reportAge->count())
+                             : "" } }));
+  this->RefuseWithRetryAfter(RefusalReason::kOverloaded,
+                             "service utilisation " +
+                               std::to_string(aRefused.utilisation),
+                             this->DrawRetryAfter());
 }
 
 void
@@ -467,4 +497,11 @@
   this->OnPlacementRefused({ DispatchRefusal::kNoEndpoint, 0 });
 }
 
+void
+CallFlow::OnMissed(const Refused& aRefused)
+{
+  this->inDispatcher = false;
+  this->OnPlacementRefused(aRefused);
+}
+
 } // namespace tanagerseam
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -37,6 +37,9 @@
   void Send(const Placement& aPlacement);
   // The dispatcher has dropped the queued call: no endpoint is left for it.
   void OnUnservable();
+  // The call was removed from the queue because its program can't begin early
+  // enough any more.
+  void OnMissed(const Refused& aRefused);
 
 private:
   // ---- admission; each step refuses the call if it fails
@@ -69,6 +72,7 @@
   // Hands the call to the dispatcher, which places, queues or refuses it.
   void Place();
   void OnPlacementRefused(const Refused& aRefused);
+  void RefuseForLoad(const Refused& aRefused);
   DispatchCall MakeDispatchCall() const;
   // The regions that the call may be sent to.
   RegionSet AllowedRegions() const;
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -371,6 +371,11 @@
 void
 GatewayState::SendQueuedCalls()
 {
+  for (const MissedCall& missed : this->dispatcher.DropMissed(BootNow())) {
+    if (const auto call = this->FindCall(missed.id)) {
+      call->OnMissed(missed.refused);
+    }
+  }
   for (const Placement& placement : this->dispatcher.PlaceQueued(BootNow())) {
     if (const auto call = this->FindCall(placement.callId)) {
       call->Send(placement);
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -81,7 +81,8 @@
   void UpdateMembers();
   std::shared_ptr<ResponseRelay> MakeRelay(
     const std::shared_ptr<EventReply>& aReply) const;
-  // Sends the queued calls for which the dispatcher has an endpoint now.
+  // Sends the queued calls for which the dispatcher has an endpoint now, and
+  // refuses those that can't begin early enough any more.
   void SendQueuedCalls();
   // Refuses the queued calls that no endpoint is left for.
   void RefuseUnservableCalls();
