admission: Retry-After by urgency and expected wait

Where a service is served adaptively, a refusal for load now spreads clients around the expected wait, sooner for urgent ones, and within a third of the client's remaining time. Other refusals and basic mode draw as before.

The overload model retries after a fixed time, so the effect on values has not been measured.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -269,6 +269,13 @@
   size_t hosts = 1;
 };
 
+// When a refused client should come back. The draw is uniform in [0, 1) and
+// spreads clients over the time in which they can be served: half of aWait to
+// aWait and a half, sooner for urgent ones, and never more than a third of what
+// the client has left, after which it would give up.
+Millis
+RetryAfter(int aPriority, Millis aWait, Millis aRemaining, double aDraw);
+
 // The decisions of one host for one service.
 class ServiceAdmission
 {
--- a/dispatch/testing/overload_test.cc
+++ b/dispatch/testing/overload_test.cc
@@ -55,8 +55,7 @@
 }
 
 class FloodTest : public OverloadTest
-{
-};
+{};
 
 double
 ValueOfOthers(const OverloadModel& aModel)
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -487,7 +487,7 @@
   this->RefuseWithRetryAfter(RefusalReason::kOverloaded,
                              "service utilisation " +
                                std::to_string(aRefused.utilisation),
-                             this->DrawRetryAfter());
+                             this->DrawRetryAfter(aRefused));
 }
 
 void
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -151,6 +151,19 @@
     static_cast<int64_t>(maxRetryAfter * distribution(this->state.random)));
 }
 
+Millis
+CallFlow::DrawRetryAfter(const Refused& aRefused)
+{
+  if (!this->state.dispatcher.IsAdaptive(this->service)) {
+    return this->DrawRetryAfter();
+  }
+  std::uniform_real_distribution<double> distribution(0, 1);
+  return RetryAfter(this->priority,
+                    aRefused.expectedWait,
+                    this->RemainingTime(),
+                    distribution(this->state.random));
+}
+
 bool
 CallFlow::PeerMayServe(RefusalReason aReason) const
 {
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -142,6 +142,8 @@
   void End(const char* aOutcome);
   // Randomised Retry-After for a refused client, scaled to its remaining time.
   Millis DrawRetryAfter();
+  // By urgency and the expected wait, for a service that is served adaptively.
+  Millis DrawRetryAfter(const Refused& aRefused);
   Millis RemainingTime() const;
   // Empty on open routes.
   std::string OrganisationName() const;
