gateway: report organisations' work in reports drawn at random

Reports go to 16 peers in turn, so with 81 hosts every tenth report reached the same 16 peers, and the others never heard of any account. Found by reading; no test shows it.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -65,7 +65,10 @@
     hostReport.host = this->state.settings.host;
     hostReport.startTime = this->state.settings.startTime;
     hostReport.endpointLoads = this->state.dispatcher.OwnLoads();
-    if (++this->reportsSent % kReportsPerWork == 0) {
+    // Reports go to peers in turn, so every tenth one could always reach the
+    // same peers.
+    std::uniform_int_distribution<uint64_t> draw(1, kReportsPerWork);
+    if (draw(this->state.random) == 1) {
       hostReport.organisationWork = this->state.dispatcher.OwnWork(now);
     }
     hostReport.quotaReports = this->state.quota.OwnReports(now);
@@ -171,7 +174,6 @@
   }
 
   GatewayState state;
-  uint64_t reportsSent = 0;
   asio::steady_timer tickTimer;
   asio::steady_timer reportTimer;
 };
