--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -37,6 +37,9 @@
   void Send(const Placement& aPlacement);
   // The dispatcher has dropped the queued call: no endpoint is left for it.
   void OnUnservable();
+  // The call was removed from the queue because its program can't begin early
+  // enough any more.
+  void OnMissed(const Refused& aRefused);
 
 private:
   // ---- admission; each step refuses the call if it fails
@@ -71,6 +74,7 @@
   // Hands the call to the dispatcher, which places, queues or refuses it.
   void Place();
   void OnPlacementRefused(const Refused& aRefused);
+  void RefuseForLoad(const Refused& aRefused);
   DispatchCall MakeDispatchCall() const;
   // The regions that the call may be sent to.
   RegionSet AllowedRegions() const;
@@ -152,6 +156,8 @@
   void End(const char* aOutcome);
   // Randomised Retry-After for a refused client, scaled to its remaining time.
   Millis DrawRetryAfter();
+  // By urgency and the expected wait, for a service that is served adaptively.
+  Millis DrawRetryAfter(const Refused& aRefused);
   Millis RemainingTime() const;
   // Empty on open routes.
   std::string OrganisationName() const;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -10,6 +10,9 @@
 namespace asio = restinio::asio_ns;
 
 constexpr Millis kTickInterval(25);
+// Every so many reports name the work of organisations: with eight of them to
+// 16 peers, at most 2.2 KB a second.
+constexpr uint64_t kReportsPerWork = 10;
 
 } // namespace
 
@@ -63,6 +66,12 @@
     hostReport.startTime = this->state.settings.startTime;
     hostReport.endpointLoads = this->state.dispatcher.OwnLoads();
     hostReport.work = this->state.dispatcher.OwnWorks();
+    // Reports go to peers in turn, so every tenth one could always reach the
+    // same peers.
+    std::uniform_int_distribution<uint64_t> draw(1, kReportsPerWork);
+    if (draw(this->state.random) == 1) {
+      hostReport.organisationWork = this->state.dispatcher.OwnWork(now);
+    }
     hostReport.quotaReports = this->state.quota.OwnReports(now);
     hostReport.quotaReports.merge(this->state.endpointQuota.OwnReports(now));
     hostReport.lostServices = this->state.reach.Lost();
@@ -141,6 +150,8 @@
     this->state.members.OnReport(aReport.host, now);
     this->state.dispatcher.OnPeerReport(
       aReport.host, aReport.endpointLoads, now, aReport.work);
+    this->state.dispatcher.OnPeerWork(
+      aReport.host, aReport.organisationWork, now);
     this->state.turnBudgets.RecordHeartbeat(
       aReport.host, !aReport.storeUnavailable, now);
     this->state.quota.OnPeerReport(
