Resumed streams: nothing is inferred after a route has moved

Cause: a stream that is not named was taken for one of the service that its route leads to now. A configuration that moved the route after the stream had begun let it go on at another service. Found by reading; not seen in a run.

Change: a host remembers for 600 s which routes lead to other services than before and refuses to infer there.

--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -1,5 +1,6 @@
 #include "catalog/catalog.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace tanagerseam {
@@ -80,6 +81,19 @@
            : &this->content.services[found->second];
 }
 
+bool
+HaveSameTargets(const RouteEntry& aLeft, const RouteEntry& aRight)
+{
+  return std::is_permutation(
+    aLeft.targets.begin(),
+    aLeft.targets.end(),
+    aRight.targets.begin(),
+    aRight.targets.end(),
+    [](const RouteTarget& aOne, const RouteTarget& aOther) {
+      return aOne.service == aOther.service;
+    });
+}
+
 const std::string&
 ChooseService(const RouteEntry& aRoute, double aDraw)
 {
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -153,6 +153,7 @@
   {
     return this->content.organisations;
   }
+  const std::vector<RouteEntry>& Routes() const { return this->content.routes; }
   const std::vector<ServiceEntry>& Services() const
   {
     return this->content.services;
@@ -175,6 +176,10 @@
   std::unordered_map<std::string, size_t> servicesByName;
 };
 
+// True if the routes lead to the same services.
+bool
+HaveSameTargets(const RouteEntry& aLeft, const RouteEntry& aRight);
+
 // Picks a target service with probability proportional to its weight; aDraw is
 // a uniform random number in [0, 1).
 const std::string&
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -186,6 +186,7 @@
   // Clients set their own number of attempts and pauses, so what this host has
   // not watched is unknown for as long as any stream may be resumed.
   if (this->route->targets.size() > 1 ||
+      this->state.HasMovedSince(*this->route, earliestResumable) ||
       !this->state.versions.HasWatchedSince(earliestResumable, now)) {
     this->ContinueAtOrigin(aLookup);
     return;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -250,6 +250,9 @@
   }
   const TimePoint now = BootNow();
   const bool isFirstCatalog = !state.catalog;
+  if (!isFirstCatalog) {
+    state.RecordMovedRoutes(*state.catalog, *aCatalog);
+  }
   state.catalog = std::move(aCatalog);
   std::vector<std::string> names;
   for (const OrganisationEntry& entry : state.catalog->Organisations()) {
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -350,6 +350,30 @@
   return this->versions.SoleVersion(aService, aSince, now);
 }
 
+void
+GatewayState::RecordMovedRoutes(const Catalog& aFormer, const Catalog& aNext)
+{
+  const TimePoint now = BootNow();
+  for (auto it = this->routesMovedAt.begin();
+       it != this->routesMovedAt.end();) {
+    const bool old = now - it->second > StreamOrigins::kStreamMemory;
+    it = old ? this->routesMovedAt.erase(it) : std::next(it);
+  }
+  for (const RouteEntry& route : aNext.Routes()) {
+    const RouteEntry* former = aFormer.FindRoute(route.host, route.pathPrefix);
+    if (former != nullptr && !HaveSameTargets(*former, route)) {
+      this->routesMovedAt[{ route.host, route.pathPrefix }] = now;
+    }
+  }
+}
+
+bool
+GatewayState::HasMovedSince(const RouteEntry& aRoute, TimePoint aSince) const
+{
+  auto found = this->routesMovedAt.find({ aRoute.host, aRoute.pathPrefix });
+  return found != this->routesMovedAt.end() && found->second >= aSince;
+}
+
 void
 GatewayState::UpdateMembers()
 {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -80,6 +80,12 @@
   // The only version of the service since aSince, if that is certain.
   std::optional<std::string> SoleVersion(const std::string& aService,
                                          TimePoint aSince);
+  // A new configuration: remembers which routes lead to other services than
+  // before.
+  void RecordMovedRoutes(const Catalog& aFormer, const Catalog& aNext);
+  // True if streams of the route may have begun at another service since
+  // aSince.
+  bool HasMovedSince(const RouteEntry& aRoute, TimePoint aSince) const;
   // Passes the current members to the quota, the budgets and the fleet link.
   void UpdateMembers();
   std::shared_ptr<ResponseRelay> MakeRelay(
@@ -118,6 +124,8 @@
   QuotaClient endpointQuotaClient;
   StreamOriginClient streamOrigins;
   VersionHistory versions;
+  // When a route last changed its services, by host and path prefix.
+  std::map<std::pair<std::string, std::string>, TimePoint> routesMovedAt;
   ServiceReach reach;
   RetryingLog persistentLog;
   BudgetService budgets;
--- a/gateway/testing/gateway_resumption_test.cc
+++ b/gateway/testing/gateway_resumption_test.cc
@@ -87,6 +87,25 @@
   EXPECT_EQ(this->Resume(), 503);
 }
 
+// Guards against text joined from two services: the stream began before the
+// configuration moved its route to another one.
+TEST_F(GatewayResumptionTest, RefusesAfterTheRouteMovedToAnotherService)
+{
+  this->PutEngine("v1");
+  this->PutEngine("w1", "writers");
+  this->WaitTwoTimeouts();
+  EXPECT_EQ(this->Resume(), 200);
+  this->Configure(2, "writers", kTimeout);
+  this->WaitTwoTimeouts();
+  EXPECT_EQ(this->Resume(), 503);
+  {
+    SCOPED_TRACE("a new timeout alone moves nothing");
+    this->Configure(3, "writers", 2 * kTimeout);
+    EXPECT_EQ(this->Follow(), 200);
+    EXPECT_EQ(this->Resume(), 503);
+  }
+}
+
 TEST_F(GatewayResumptionTest, ServesIfNoStreamBeganAtAFormerVersion)
 {
   this->PutEngine("v1");
