--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -16,9 +16,6 @@
 constexpr Millis kRetryAfterAtShutdown(50);
 // Limit on waiting for the record log before a call is placed.
 constexpr Millis kMaxLogWait(600);
-// Attempts of a client at one stream, each as long as the route's timeout,
-// after which it begins anew.
-constexpr int64_t kAttemptsOfAStream = 2;
 
 } // namespace
 
@@ -155,111 +152,6 @@
   return false;
 }
 
-void
-CallFlow::FindStreamOrigin()
-{
-  if (!this->call.resumption || this->route->kind != CallKind::kStream) {
-    this->LoadHistory();
-    return;
-  }
-  const std::string& first = this->call.resumption->firstRequest;
-  if (first.empty()) {
-    this->OnStreamOrigin({ StreamLookupResult::kUnnamed, std::nullopt });
-    return;
-  }
-  this->state.streamOrigins.Find(
-    StreamKey(this->OrganisationName(), first),
-    [self = this->shared_from_this()](const StreamLookup& aLookup) {
-      if (!self->ended) {
-        self->OnStreamOrigin(aLookup);
-      }
-    });
-}
-
-void
-CallFlow::InferStreamOrigin(StreamLookupResult aLookup)
-{
-  const TimePoint now = BootNow();
-  const TimePoint earliestResumable = now - StreamOrigins::kStreamMemory;
-  const TimePoint earliestBegin =
-    now - kAttemptsOfAStream * this->route->timeout;
-  // Clients set their own number of attempts and pauses, so what this host has
-  // not watched is unknown for as long as any stream may be resumed.
-  if (this->route->targets.size() > 1 ||
-      this->state.HasMovedSince(*this->route, earliestResumable) ||
-      !this->state.versions.HasWatchedSince(earliestResumable, now)) {
-    this->ContinueAtOrigin(aLookup);
-    return;
-  }
-  const auto sole = this->state.SoleVersion(this->service, earliestBegin);
-  std::vector<std::string> former =
-    this->state.versions.VersionsSince(this->service, earliestResumable);
-  former.erase(std::remove(former.begin(), former.end(), sole.value_or("")),
-               former.end());
-  // Streams of other routes are not announced.
-  if (!sole || (!former.empty() && !this->route->resumable)) {
-    this->ContinueAtOrigin(aLookup);
-    return;
-  }
-  this->state.streamOrigins.FindBegun(
-    this->service,
-    former,
-    [self = this->shared_from_this(), aLookup, version = *sole](
-      StreamLookupResult aBegun) {
-      if (self->ended) {
-        return;
-      }
-      if (aBegun == StreamLookupResult::kUnknown) {
-        self->origin = StreamOrigin{ self->service, version };
-      }
-      const bool noAnswer = aBegun == StreamLookupResult::kNoAnswer;
-      self->ContinueAtOrigin(noAnswer ? aBegun : aLookup);
-    });
-}
-
-void
-CallFlow::OnStreamOrigin(const StreamLookup& aLookup)
-{
-  this->origin = aLookup.origin;
-  if (this->origin) {
-    this->ContinueAtOrigin(aLookup.result);
-  } else {
-    this->InferStreamOrigin(aLookup.result);
-  }
-}
-
-void
-CallFlow::ContinueAtOrigin(StreamLookupResult aLookup)
-{
-  if (!this->origin) {
-    // A host that did not answer may know the stream.
-    const bool mayFindLater = aLookup == StreamLookupResult::kNoAnswer;
-    this->RefuseWithRetryAfter(RefusalReason::kStreamUnknown,
-                               "origin " + std::string(NameOf(aLookup)),
-                               mayFindLater
-                                 ? std::optional<Millis>(this->DrawRetryAfter())
-                                 : std::nullopt);
-    return;
-  }
-  LogInfo("stream_resumed",
-          this->WithCallIds({ { "origin", std::string(NameOf(aLookup)) },
-                              { "service", this->origin->service },
-                              { "version", this->origin->version } }));
-  const auto& targets = this->route->targets;
-  const bool served =
-    std::any_of(targets.begin(), targets.end(), [this](const auto& aTarget) {
-      return aTarget.service == this->origin->service;
-    });
-  if (!served) {
-    this->Refuse(RefusalReason::kStreamVersionGone,
-                 "the route no longer leads to service " +
-                   this->origin->service);
-    return;
-  }
-  this->SetService(this->origin->service);
-  this->LoadHistory();
-}
-
 void
 CallFlow::RefuseOverQuota()
 {
