--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -130,17 +130,14 @@
   }
   std::string name = this->Digest();
   auto quarantined = this->state.quarantine.Find(name, WallMillis());
-  const bool byItself = quarantined.has_value();
-  if (!byItself) {
-    name = PathName(this->PathDigest());
-    quarantined = this->state.quarantine.FindPath(name, WallMillis());
+  if (!quarantined) {
+    name = this->PathDigest();
+    quarantined = this->state.quarantine.Find(name, WallMillis());
   }
   if (!quarantined) {
     return true;
   }
-  std::string detail = (byItself ? "call " : "") + name + ": " +
-                       std::to_string(quarantined->distinctCalls) +
-                       " distinct calls crashed";
+  std::string detail = "call " + name + " crashed";
   for (const std::string& endpoint : quarantined->endpoints) {
     detail += " " + endpoint;
   }
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -259,15 +259,14 @@
     quarantine.OnEndpointDown(this->Incarnation(), WallMillis());
   } else if (aOutcome.error == EventError::kBroken && aOutcome.sent &&
              this->state.endpoints.IsUsable(this->endpointId)) {
-    for (const std::string& name :
-         { this->Digest(), PathName(this->PathDigest()) }) {
+    for (const std::string& name : { this->Digest(), this->PathDigest() }) {
       quarantine.OnBroken(
         { name, this->Incarnation(), this->sentAtMillis, WallMillis() });
     }
   } else if (aOutcome.error == EventError::kNone &&
              !this->relay->Head().notExecuted && !quarantine.Empty()) {
     quarantine.OnSucceeded(this->Digest(), this->sentAtMillis);
-    quarantine.OnSucceeded(PathName(this->PathDigest()), this->sentAtMillis);
+    quarantine.OnSucceeded(this->PathDigest(), this->sentAtMillis);
   }
 }
 
--- a/quarantine/quarantine.cc
+++ b/quarantine/quarantine.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <set>
 #include <tuple>
 
 namespace tanagerseam {
@@ -13,22 +12,6 @@
 constexpr Millis kClockTolerance(1000);
 // Times at which one incarnation was found to be down.
 constexpr size_t kMaxTimesDown = 4;
-constexpr char kPathPrefix[] = "path/";
-
-bool
-IsPathName(const std::string& aName)
-{
-  return aName.rfind(kPathPrefix, 0) == 0;
-}
-
-// True if both calls broke in the same crash. Hosts' clocks differ.
-bool
-BrokeTogether(const BrokenCall& aLeft, const BrokenCall& aRight)
-{
-  return aLeft.endpoint == aRight.endpoint &&
-         std::abs(aLeft.brokenAtMillis - aRight.brokenAtMillis) <=
-           kClockTolerance.count();
-}
 
 template<typename Item, typename TimeOf>
 void
@@ -52,12 +35,6 @@
   return aEndpoint + "@" + std::to_string(aStartedAtMillis);
 }
 
-std::string
-PathName(const std::string& aDigest)
-{
-  return kPathPrefix + aDigest;
-}
-
 void
 CallQuarantine::Add(const BrokenCall& aBroken, bool aOwn)
 {
@@ -165,70 +142,6 @@
   return crashes;
 }
 
-std::vector<BrokenCall>
-CallQuarantine::ExplainedCrashes() const
-{
-  std::vector<BrokenCall> explained;
-  for (const auto& [name, call] : this->calls) {
-    if (IsPathName(name) || call.breaks.size() < kMinCrashes) {
-      continue;
-    }
-    const std::vector<BrokenCall> crashes = this->Crashes(call);
-    if (crashes.size() >= kMinCrashes) {
-      explained.insert(explained.end(), crashes.begin(), crashes.end());
-    }
-  }
-  return explained;
-}
-
-std::vector<BrokenCall>
-CallQuarantine::CrashesOf(const std::string& aName, const Call& aCall) const
-{
-  std::vector<BrokenCall> crashes = this->Crashes(aCall);
-  if (!IsPathName(aName) || crashes.size() < kMinCrashes) {
-    return crashes;
-  }
-  const std::vector<BrokenCall> explained = this->ExplainedCrashes();
-  const auto isExplained = [&explained](const KnownBreak& aKnown) {
-    return std::any_of(
-      explained.begin(), explained.end(), [&aKnown](const BrokenCall& aCrash) {
-        return BrokeTogether(aKnown.broken, aCrash);
-      });
-  };
-  Call rest = aCall;
-  rest.breaks.erase(
-    std::remove_if(rest.breaks.begin(), rest.breaks.end(), isExplained),
-    rest.breaks.end());
-  return this->Crashes(rest);
-}
-
-size_t
-CallQuarantine::DistinctCalls(const Call& aPath,
-                              const std::vector<BrokenCall>& aCrashes) const
-{
-  // Each attempt is recorded under both of its names.
-  std::set<std::pair<std::string, int64_t>> attempts;
-  for (const KnownBreak& known : aPath.breaks) {
-    const BrokenCall& broken = known.broken;
-    if (std::any_of(
-          aCrashes.begin(), aCrashes.end(), [&broken](const auto& aCrash) {
-            return BrokeTogether(broken, aCrash);
-          })) {
-      attempts.emplace(broken.endpoint, broken.sentAtMillis);
-    }
-  }
-  const auto isOneOf = [&attempts](const KnownBreak& aKnown) {
-    return attempts.count(
-             { aKnown.broken.endpoint, aKnown.broken.sentAtMillis }) > 0;
-  };
-  return static_cast<size_t>(std::count_if(
-    this->calls.begin(), this->calls.end(), [&isOneOf](const auto& aEntry) {
-      const std::vector<KnownBreak>& breaks = aEntry.second.breaks;
-      return !IsPathName(aEntry.first) &&
-             std::any_of(breaks.begin(), breaks.end(), isOneOf);
-    }));
-}
-
 int64_t
 CallQuarantine::QuarantineEnd(const std::vector<BrokenCall>& aCrashes)
 {
@@ -248,7 +161,7 @@
   if (found == this->calls.end()) {
     return std::nullopt;
   }
-  const std::vector<BrokenCall> crashes = this->CrashesOf(aCall, found->second);
+  const std::vector<BrokenCall> crashes = this->Crashes(found->second);
   QuarantinedCall quarantined;
   quarantined.untilMillis = QuarantineEnd(crashes);
   if (aNowMillis >= quarantined.untilMillis) {
@@ -260,18 +173,6 @@
   return quarantined;
 }
 
-std::optional<QuarantinedCall>
-CallQuarantine::FindPath(const std::string& aPath, int64_t aNowMillis) const
-{
-  auto quarantined = this->Find(aPath, aNowMillis);
-  if (quarantined) {
-    const auto& call = this->calls.at(aPath);
-    quarantined->distinctCalls =
-      this->DistinctCalls(call, this->CrashesOf(aPath, call));
-  }
-  return quarantined;
-}
-
 size_t
 CallQuarantine::Count(int64_t aNowMillis) const
 {
@@ -301,8 +202,7 @@
   std::vector<BrokenCall> suspected;
   std::map<std::string, int64_t> down;
   for (const auto& entry : this->calls) {
-    const std::vector<BrokenCall> crashes =
-      this->CrashesOf(entry.first, entry.second);
+    const std::vector<BrokenCall> crashes = this->Crashes(entry.second);
     if (aNowMillis < QuarantineEnd(crashes)) {
       report.broken.insert(report.broken.end(), crashes.begin(), crashes.end());
     } else {
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -6,7 +6,6 @@
 //   quarantine.OnEndpointDown("i-18@1784534043071", now);
 //   quarantine.OnSucceeded(call, sentAt);
 //   if (quarantine.Find(call, now)) { ... refuse the call ... }
-//   if (quarantine.FindPath(path, now)) { ... refuse the call ... }
 //
 //   HostReport: quarantine.Report(now)
 //   for each report of a peer: quarantine.OnPeerReport(report, now)
@@ -15,14 +14,7 @@
 // CallPathDigest. So attempts with other request ids, in other programs and
 // through other hosts count as the same call, and so do the turns of a
 // conversation that each repeat its history in their bodies, as long as no call
-// to that path succeeds. The name of a path is made by PathName.
-//
-// Paths: a crash counts against a path only if no call explains it that is
-// known by its own digest, that is, one that crashed kMinCrashes endpoints in a
-// row and was running on this endpoint when it crashed. Else one fatal call
-// that is sent again has all calls of its organisation on the path refused, and
-// none could succeed and clear the path. Two crashes of one body do not explain
-// themselves: turns with new bodies may each be tried twice.
+// to that path succeeds.
 //
 // Suspicion: all calls in flight on an endpoint break when it crashes, and most
 // of them are innocent. A break counts against a call only if the endpoint is
@@ -99,14 +91,8 @@
   // The crashed incarnations, in order.
   std::vector<std::string> endpoints;
   int64_t untilMillis = 0;
-  // Of a path: its calls, by their own digests, that broke in these crashes.
-  size_t distinctCalls = 1;
 };
 
-// The name under which breaks of a path are recorded; aDigest: CallPathDigest.
-std::string
-PathName(const std::string& aDigest);
-
 // aStartedAtMillis: start of the incarnation; 0 if unknown.
 std::string
 IncarnationName(const std::string& aEndpoint, int64_t aStartedAtMillis);
@@ -143,9 +129,6 @@
   // Nothing for a call that may be sent.
   std::optional<QuarantinedCall> Find(const std::string& aCall,
                                       int64_t aNowMillis) const;
-  // The same for a path, given by its PathName.
-  std::optional<QuarantinedCall> FindPath(const std::string& aPath,
-                                          int64_t aNowMillis) const;
   // Number of calls in quarantine.
   size_t Count(int64_t aNowMillis) const;
   // True if no call has broken lately, so that Find finds none.
@@ -169,16 +152,6 @@
   };
 
   void Add(const BrokenCall& aBroken, bool aOwn);
-  // The crashes in a row since the last success, in order; of a path, without
-  // those that are explained.
-  std::vector<BrokenCall> CrashesOf(const std::string& aName,
-                                    const Call& aCall) const;
-  // The crashes of calls that are known by their own digest.
-  std::vector<BrokenCall> ExplainedCrashes() const;
-  // Number of calls of a path, by their own digests, that broke in these
-  // crashes.
-  size_t DistinctCalls(const Call& aPath,
-                       const std::vector<BrokenCall>& aCrashes) const;
   // The crashes in a row since the last success, in order.
   std::vector<BrokenCall> Crashes(const Call& aCall) const;
   // When the endpoint was found to be down after the break, if it was.
