--- a/review/support/backend.h
+++ b/review/support/backend.h
@@ -68,6 +68,10 @@
   }
   bool HasExited() const { return this->exited; }
 
+  // Time and lines of the case's record.
+  double Seconds() const { return this->record.Seconds(); }
+  void Note(const std::string& aLine) { this->record.Add(aLine); }
+
   Headers AnswerHeaders(const Request& aRequest) const
   {
     const std::string requestId = aRequest.Header("X-Request-Id");
