--- a/review/support/client.h
+++ b/review/support/client.h
@@ -3,6 +3,7 @@
 #define TANAGERSEAM_REVIEW_SUPPORT_CLIENT_H_
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "review/support/http.h"
@@ -42,8 +43,9 @@
 class Channel
 {
 public:
-  Channel(Record& aRecord, uint16_t aPort)
+  Channel(Record& aRecord, uint16_t aPort, std::string aKey = "key-1")
     : record(aRecord)
+    , key(std::move(aKey))
   {
     this->open = this->socket.Connect(aPort);
   }
@@ -62,7 +64,7 @@
       aMethod + " " + aTarget +
       " HTTP/1.1\r\nHost: reports.example\r\nX-Request-Id: " + aId +
       "\r\nX-Deadline-Ms: " + std::to_string(aLimit.count()) +
-      "\r\nAuthorization: Bearer key-1\r\n";
+      "\r\nAuthorization: Bearer " + this->key + "\r\n";
     for (const auto& header : aHeaders) {
       text += header.first + ": " + header.second + "\r\n";
     }
@@ -128,6 +130,7 @@
   }
 
   Record& record;
+  const std::string key;
   Socket socket;
   bool open = false;
 };
--- a/review/support/site.h
+++ b/review/support/site.h
@@ -54,6 +54,15 @@
            { "resumable", aRoute.resumable } };
 }
 
+inline nlohmann::json
+TenantJson(const std::string& aName, const std::string& aKey)
+{
+  return { { "name", aName },
+           { "api-keys", nlohmann::json::array({ aKey }) },
+           { "per-s", 212 },
+           { "burst", 212 } };
+}
+
 inline std::string
 ConfigurationText(const nlohmann::json& aRoutes)
 {
@@ -79,10 +88,7 @@
         { "idle-timeout-ms", 15000 } } },
     { "tenants",
       nlohmann::json::array(
-        { { { "name", "org-1" },
-            { "api-keys", nlohmann::json::array({ "key-1" }) },
-            { "per-s", 212 },
-            { "burst", 212 } } }) }
+        { TenantJson("org-1", "key-1"), TenantJson("org-2", "key-2") }) }
   };
   return content.dump();
 }
