--- a/review/support/fleet.h
+++ b/review/support/fleet.h
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -34,12 +35,13 @@
                                   : "without the disruption");
   }
 
-  // To be called before the daemons start.
+  // May be called from any thread.
   void AddBackend(const std::string& aId,
                   const std::string& aService,
                   const std::string& aZone,
                   const Backend::Work& aWork)
   {
+    const std::lock_guard<std::mutex> lock(this->mutex);
     // Serves its connections until the process ends.
     this->backends.push_back(
       new Backend(this->store, this->record, aId, aService, aZone, aWork));
@@ -114,6 +116,7 @@
 
 private:
   const CaseArguments arguments;
+  std::mutex mutex;
 };
 
 // Runs a case; an exception means that it could not run.
