gateway: serve a call during shutdown only if it ends before the exit

Cause: the host accepted every call until a fixed 3.3 s before its exit and did not compare the call's deadline with the exit. 3.3 s was meant to be longer than the usual timeout of a route; routes of 4 s exist. The same held for calls that were still queued, for retries and for calls forwarded to a peer, whose response passes through the host that exits.

Ruled out: the endpoint or the client ended the stream (the same stream is whole without the SIGTERM), the deadline (3.6 s of 4 s).

Change: ShutdownSchedule decides by the exit and the call's deadline, when a call is taken, leaves the queue, is retried or forwarded. For the first 3 s all calls are served: load balancers still send new clients, and where timeouts exceed the grace time all calls would be refused from SIGTERM on; such a call has at least 4.3 s of 7.3 s left. Queued calls are refused at the end of that time. Short calls are now served until 6.1 s (1.2 s timeouts), where they were refused from 4 s on.

RefusesNewCallsBeforeExit checks the same refusal through BeginShutdown, as StopAcceptingCalls is gone; it waits for the end of the transition.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -29,9 +29,6 @@
 constexpr Millis kAnnounceRetryDelay(700);
 constexpr Millis kAnnounceTimeout(1500);
 constexpr Millis kFileCheckInterval(2000);
-// Time before the exit in which no new calls are accepted, so that accepted
-// ones can complete; longer than the usual timeout of a route.
-constexpr Millis kLastCallAllowance(3300);
 // Time between the exit and the kill, for pending writes.
 constexpr Millis kShutdownMargin(700);
 constexpr Millis kShutdownPollInterval(50);
@@ -385,27 +382,27 @@
     this->shutdownStart = BootNow();
     LogInfo("stopping",
             { { "calls", std::to_string(this->gateway.InFlightCalls()) } });
-    this->gateway.Drain();
+    this->gateway.BeginShutdown(this->LatestExit());
     this->callServer->CloseAfterAnswers();
     this->PollShutdown();
   }
 
-  // New calls are served while clients move to other hosts. Once shutdownNotice
-  // has passed, no new connections are accepted and the process exits when no
-  // call is left, and in any case kShutdownMargin before the limit. Calls that
-  // arrive on idle connections in the last kLastCallAllowance before that are
-  // refused, so that their clients use another host: they could not complete in
-  // time.
+  // From SIGTERM.
+  Millis LatestExit() const
+  {
+    return this->settings.shutdownLimit - kShutdownMargin;
+  }
+
+  // New calls are served while clients move to other hosts, as far as they end
+  // before the exit; see ShutdownSchedule. Once shutdownNotice has passed, no
+  // new connections are accepted and the process exits when no call is left,
+  // and in any case at LatestExit.
   void PollShutdown()
   {
     const auto elapsed =
       std::chrono::duration_cast<Millis>(BootNow() - this->shutdownStart);
     const bool noticeElapsed = elapsed >= this->settings.shutdownNotice;
-    const Millis latestExit = this->settings.shutdownLimit - kShutdownMargin;
-    const bool limitReached = elapsed >= latestExit;
-    if (elapsed >= latestExit - kLastCallAllowance) {
-      this->gateway.StopAcceptingCalls();
-    }
+    const bool limitReached = elapsed >= this->LatestExit();
     if (noticeElapsed && !this->acceptingStopped) {
       this->acceptingStopped = true;
       this->callServer->StopAccepting();
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -32,13 +32,8 @@
       self->OnMemoryNeeded();
     }
   });
-  if (!this->state.acceptsCalls) {
-    this->RefuseWithRetryAfter(RefusalReason::kNotReady,
-                               "the host is shutting down",
-                               kRetryAfterAtShutdown);
-    return;
-  }
-  if (!this->FindRoute() || !this->CheckApiKey() || !this->CheckQuarantine()) {
+  if (!this->FindRoute() || !this->CheckShutdown() || !this->CheckApiKey() ||
+      !this->CheckQuarantine()) {
     return;
   }
   this->timer.expires_after(this->RemainingTime());
@@ -55,6 +50,22 @@
   this->FindStreamOrigin();
 }
 
+bool
+CallFlow::CheckShutdown()
+{
+  if (this->state.shutdown.Serves(this->deadline, BootNow())) {
+    return true;
+  }
+  const char* detail = "the host shuts down before the deadline of the call";
+  if (this->mayHaveExecuted) {
+    this->Refuse(RefusalReason::kEndpointFailed, detail);
+  } else {
+    this->RefuseWithRetryAfter(
+      RefusalReason::kNotReady, detail, kRetryAfterAtShutdown);
+  }
+  return false;
+}
+
 bool
 CallFlow::FindRoute()
 {
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -103,7 +103,7 @@
 void
 CallFlow::StartExchange()
 {
-  if (!this->CheckQuarantine()) {
+  if (!this->CheckShutdown() || !this->CheckQuarantine()) {
     return;
   }
   this->exchangeActive = true;
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -171,8 +171,7 @@
   const TimePoint now = BootNow();
   switch (aReason) {
     case RefusalReason::kNotReady:
-      // A forwarded call would be cut off when this process exits, too.
-      return this->state.acceptsCalls;
+      return true;
     case RefusalReason::kLogUnavailable:
       // With only some partitions unavailable, a peer can't reach them either.
       return this->state.persistentLog.IsUnavailable(now) ||
@@ -242,13 +241,17 @@
   }
   std::uniform_int_distribution<size_t> distribution(0, addresses.size() - 1);
   const std::string& address = addresses[distribution(this->state.random)];
+  const TimePoint forwardDeadline =
+    this->arrivedAt + this->call.remainingTime.value_or(kDefaultForwardTimeout);
+  // The response passes through this host, so its exit cuts it off, too.
+  if (!this->state.shutdown.Serves(forwardDeadline, BootNow())) {
+    return false;
+  }
   // The peer may run the call.
   this->reply->OnMemoryNeeded(nullptr);
   for (const LeavingEndpoint& leaving : this->state.endpoints.Leaving()) {
     this->call.excludedEndpoints.insert(leaving.id);
   }
-  const TimePoint forwardDeadline =
-    this->arrivedAt + this->call.remainingTime.value_or(kDefaultForwardTimeout);
   auto forwarded = std::make_shared<ForwardedCall>(
     this->state, this->call, this->reply, aRefusal, forwardDeadline);
   this->End("forwarded");
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -40,6 +40,10 @@
   // The call was removed from the queue because its program can't begin early
   // enough any more.
   void OnMissed(const Refused& aRefused);
+  // The call waits for an endpoint.
+  bool IsQueued() const { return this->inDispatcher && !this->placed; }
+  // False: refused, since the process exits before the call's deadline.
+  bool CheckShutdown();
 
 private:
   // ---- admission; each step refuses the call if it fails
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -42,6 +42,9 @@
     if (this->state.dispatcher.QueuedCalls() > 0) {
       this->state.SendQueuedCalls();
     }
+    if (this->state.shutdown.HasBegun()) {
+      this->state.RefuseCallsPastExit();
+    }
     this->tickTimer.expires_after(kTickInterval);
     this->tickTimer.async_wait([this](const auto& aError) {
       if (!aError) {
@@ -57,7 +60,7 @@
     this->ExpireMembers(now);
     HostReport hostReport;
     hostReport.storeUnavailable = this->state.StoreUnavailable(now) ||
-                                  this->state.draining ||
+                                  this->state.shutdown.HasBegun() ||
                                   this->state.persistentLog.IsUnavailable(now);
     hostReport.ready =
       this->state.Ready(now) && !this->state.persistentLog.IsUnavailable(now);
@@ -443,18 +446,13 @@
 }
 
 void
-Gateway::Drain()
+Gateway::BeginShutdown(Millis aUntilExit)
 {
-  this->impl->state.draining = true;
+  const TimePoint now = BootNow();
+  this->impl->state.shutdown.Begin(now, now + aUntilExit);
   this->impl->state.budgets.ReturnUnused();
 }
 
-void
-Gateway::StopAcceptingCalls()
-{
-  this->impl->state.acceptsCalls = false;
-}
-
 size_t
 Gateway::InFlightCalls() const
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -9,7 +9,7 @@
 //   gateway.ConfirmEndpoints();
 //   gateway.Start();
 //   gateway.Handle(request, reply);      // called by the HTTP server
-//   gateway.Drain();                     // on SIGTERM
+//   gateway.BeginShutdown(Millis(7300)); // on SIGTERM
 //
 // Steps of a call, each of which may end it with a refusal:
 //   parse, route, API key, origin of a resumed stream, history, token budget,
@@ -144,14 +144,13 @@
 
   // ---- calls
   void Handle(EventRequest aRequest, std::shared_ptr<EventReply> aReply);
-  // Readiness for load balancers: false while draining, before the first
+  // Readiness for load balancers: false while shutting down, before the first
   // confirmed endpoint list, with a stale catalog or without the store.
   bool Ready() const;
-  // Reports not ready, so that clients move to other hosts; calls that still
-  // arrive are served. Returns unused budget tokens.
-  void Drain();
-  // From now on new calls are refused at once, as the process is about to exit.
-  void StopAcceptingCalls();
+  // Reports not ready, so that clients move to other hosts, and returns unused
+  // budget tokens. The process exits after aUntilExit at the latest; which
+  // calls are served until then is up to ShutdownSchedule.
+  void BeginShutdown(Millis aUntilExit);
   // Calls without a complete response, including forwarded ones.
   size_t InFlightCalls() const;
 
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -126,7 +126,7 @@
 bool
 GatewayState::Ready(TimePoint aNow) const
 {
-  return !this->draining && this->endpointsConfirmed &&
+  return !this->shutdown.HasBegun() && this->endpointsConfirmed &&
          this->membersConfirmed && this->CatalogFresh(aNow) &&
          !this->StoreUnavailable(aNow);
 }
@@ -420,6 +420,21 @@
   }
 }
 
+void
+GatewayState::RefuseCallsPastExit()
+{
+  std::vector<std::shared_ptr<CallFlow>> waiting;
+  for (const auto& entry : this->calls) {
+    const auto call = entry.second.lock();
+    if (call && call->IsQueued()) {
+      waiting.push_back(call);
+    }
+  }
+  for (const auto& call : waiting) {
+    call->CheckShutdown();
+  }
+}
+
 void
 GatewayState::SendQueuedCalls()
 {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "gateway/quota_client.h"
 #include "gateway/record_relay.h"
 #include "gateway/response_relay.h"
+#include "gateway/shutdown_schedule.h"
 #include "gateway/stream_origin_client.h"
 #include "gateway/turn_budgets.h"
 #include "quarantine/quarantine.h"
@@ -95,6 +96,8 @@
   void SendQueuedCalls();
   // Refuses the queued calls that no endpoint is left for.
   void RefuseUnservableCalls();
+  // Refuses the queued calls that the shutdown leaves no time for.
+  void RefuseCallsPastExit();
   // The call in the dispatcher; null if it has ended.
   std::shared_ptr<CallFlow> FindCall(uint64_t aDispatchId) const;
 
@@ -141,9 +144,7 @@
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
   uint64_t nextDispatchId = 1;
   size_t inFlightCalls = 0;
-  bool draining = false;
-  // False shortly before the process exits.
-  bool acceptsCalls = true;
+  ShutdownSchedule shutdown;
   std::mt19937_64 random;
 };
 
--- a/gateway/testing/gateway_test.cc
+++ b/gateway/testing/gateway_test.cc
@@ -313,7 +313,7 @@
 {
   RawEndpoint slow(this->io, [](const std::string& aRequest) {
     PresetResponse response;
-    response.delay = Millis(200);
+    response.delay = Millis(600);
     response.delayedBytes = MakeResponse(aRequest, "done");
     return response;
   });
@@ -322,8 +322,9 @@
   RawClient client(this->io, this->host.port);
   client.Send(this->Request("POST", "/charge/1", "r-1", "x"));
   EXPECT_TRUE(this->RunUntil([&slow] { return slow.requests.size() == 1; }));
-  this->host.gateway.Drain();
-  this->host.gateway.StopAcceptingCalls();
+  const Millis untilExit(900);
+  this->host.gateway.BeginShutdown(untilExit);
+  this->RunFor(untilExit / 2);
   const std::string refused = this->SendAndReceive(
     this->host, this->Request("POST", "/charge/1", "r-2", "x"));
   EXPECT_EQ(StatusOf(refused), 503);
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -68,7 +68,8 @@
         GatewayHostSettings{ this->folder,
                              "host-" + std::to_string(i),
                              this->store.Address(),
-                             kFreshness });
+                             kFreshness,
+                             this->shutdownNotice });
       this->hosts[i]->Start();
     }
     ASSERT_TRUE(this->Until([this] { return this->AllReady(); }));
@@ -175,6 +176,8 @@
   StoreStandin store{ io };
   RawEndpoint endpoint;
   std::vector<std::unique_ptr<GatewayHost>> hosts;
+  // Of the hosts; set before SetUp.
+  Millis shutdownNotice = GatewayHostSettings{}.shutdownNotice;
   int nextId = 0;
 };
 
--- a/tests/support/gateway_host.h
+++ b/tests/support/gateway_host.h
@@ -94,15 +94,16 @@
 // non-idempotent.
 inline std::string
 ConfigurationJson(int aVersion,
-                  const std::vector<OrganisationConfig>& aOrganisations)
+                  const std::vector<OrganisationConfig>& aOrganisations,
+                  Millis aTimeout = Millis(2000))
 {
   const auto route =
-    [](const char* aName, const char* aKind, const char* aService) {
+    [aTimeout](const char* aName, const char* aKind, const char* aService) {
       return nlohmann::json{ { "name", aName },
                              { "host", "reports.example" },
                              { "path-prefix", "/" + std::string(aName) + "/" },
                              { "kind", aKind },
-                             { "timeout-ms", 2000 },
+                             { "timeout-ms", aTimeout.count() },
                              { "service", aService },
                              { "max-attempts", 2 } };
     };
