gateway: end the last calls with a response before the exit

What callers saw: a call that was still waiting or running when the grace time of a stop was nearly over lost its connection without a response. A client can't tell then that a call was never sent and may be repeated. In a build with AddressSanitizer the review saw memory used after its release: calls held by the event loop counted themselves in a state that was gone.

Cause: at the limit the process stopped its event loop and left the rest to the kernel. ~CallFlow and ~ForwardedCall changed a counter in GatewayState, which is destroyed before the loop that holds them.

Change: ActiveCalls has the calls without a final response. 0.7 s before the limit each is ended: 503 if it was not sent, 502 if it was, a broken connection for a stream that has begun. The process then waits up to 0.3 s until the responses are written. The set is shared with the calls, so that it outlives the state.

Evidence: GatewayShutdownTest.GivesACallWithoutAResponseAFinalOneAtTheExit uses EndCalls, which did not exist; before, `io.stop()` was all that happened at the limit, by reading. gateway_test, gateway_shutdown_test and gateway_fleet_test pass.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -29,8 +29,10 @@
 constexpr Millis kAnnounceRetryDelay(700);
 constexpr Millis kAnnounceTimeout(1500);
 constexpr Millis kFileCheckInterval(2000);
-// Time between the exit and the kill, for pending writes.
+// Time between the end of the last calls and the kill.
 constexpr Millis kShutdownMargin(700);
+// Of that, for the last responses to be written.
+constexpr Millis kLastWritesTime(300);
 constexpr Millis kShutdownPollInterval(50);
 constexpr int kIdlePollsBeforeExit = 3;
 // Time in which some uploads under way end.
@@ -382,27 +384,39 @@
     this->shutdownStart = BootNow();
     LogInfo("stopping",
             { { "calls", std::to_string(this->gateway.InFlightCalls()) } });
-    this->gateway.BeginShutdown(this->LatestExit());
+    this->gateway.BeginShutdown(this->LastCallsEnd());
     this->callServer->CloseAfterAnswers();
     this->PollShutdown();
   }
 
-  // From SIGTERM.
-  Millis LatestExit() const
+  // When the calls that are left are ended, from SIGTERM.
+  Millis LastCallsEnd() const
   {
     return this->settings.shutdownLimit - kShutdownMargin;
   }
 
+  void EndCalls()
+  {
+    LogInfo("calls_ended",
+            { { "calls", std::to_string(this->gateway.InFlightCalls()) } });
+    this->gateway.EndCalls();
+  }
+
   // New calls are served while clients move to other hosts, as far as they end
-  // before the exit; see ShutdownSchedule. Once shutdownNotice has passed, no
-  // new connections are accepted and the process exits when no call is left,
-  // and in any case at LatestExit.
+  // in time; see ShutdownSchedule. Once shutdownNotice has passed, no new
+  // connections are accepted and the process exits when no call is left. Those
+  // that are left at LastCallsEnd are ended.
   void PollShutdown()
   {
     const auto elapsed =
       std::chrono::duration_cast<Millis>(BootNow() - this->shutdownStart);
     const bool noticeElapsed = elapsed >= this->settings.shutdownNotice;
-    const bool limitReached = elapsed >= this->LatestExit();
+    const Millis lastCallsEnd = this->LastCallsEnd();
+    if (elapsed >= lastCallsEnd && !this->callsEnded) {
+      this->callsEnded = true;
+      this->EndCalls();
+    }
+    const bool limitReached = elapsed >= lastCallsEnd + kLastWritesTime;
     if (noticeElapsed && !this->acceptingStopped) {
       this->acceptingStopped = true;
       this->callServer->StopAccepting();
@@ -455,6 +469,7 @@
   bool serversLost = false;
   bool membersLoaded = false;
   bool acceptingStopped = false;
+  bool callsEnded = false;
   int idlePolls = 0;
   TimePoint shutdownStart{};
 };
--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -12,8 +12,6 @@
 // Time limit of a call whose client sent no deadline or a later one, on a route
 // without a shorter timeout.
 constexpr Millis kMaxCallDuration(600000);
-// Retry-After during shutdown: another host can serve the client at once.
-constexpr Millis kRetryAfterAtShutdown(50);
 // Limit on waiting for the record log before a call is placed.
 constexpr Millis kMaxLogWait(600);
 
@@ -56,13 +54,8 @@
   if (this->state.shutdown.Serves(this->deadline, BootNow())) {
     return true;
   }
-  const char* detail = "the host shuts down before the deadline of the call";
-  if (this->mayHaveExecuted) {
-    this->Refuse(RefusalReason::kEndpointFailed, detail);
-  } else {
-    this->RefuseWithRetryAfter(
-      RefusalReason::kNotReady, detail, kRetryAfterAtShutdown);
-  }
+  this->RefuseAtShutdown(this->mayHaveExecuted,
+                         "the host shuts down before the call's deadline");
   return false;
 }
 
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -332,9 +332,7 @@
     this->Retry();
     return;
   }
-  this->Refuse(idempotent ? RefusalReason::kEndpointFailed
-                          : RefusalReason::kOutcomeUnknown,
-               std::string(NameOf(aOutcome.error)));
+  this->RefuseAsUncertain(std::string(NameOf(aOutcome.error)));
 }
 
 void
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -18,6 +18,8 @@
 constexpr Millis kDefaultForwardTimeout(60000);
 // A call that could connect to none of so many endpoints goes to a peer.
 constexpr size_t kMaxUnreachableEndpoints = 2;
+// Retry-After during shutdown: another host can serve the client at once.
+constexpr Millis kRetryAfterAtShutdown(50);
 
 } // namespace
 
@@ -25,6 +27,7 @@
                    ServiceCall aCall,
                    std::shared_ptr<EventReply> aReply)
   : state(aState)
+  , activeEntry(aState.activeCalls, *this)
   , call(std::move(aCall))
   , reply(std::move(aReply))
   , arrivedAt(BootNow())
@@ -34,12 +37,6 @@
   , roomTimer(aState.dependencies.io)
   , turnOutput(aState.responseMemory)
 {
-  ++this->state.inFlightCalls;
-}
-
-CallFlow::~CallFlow()
-{
-  --this->state.inFlightCalls;
 }
 
 Millis
@@ -301,6 +298,41 @@
   this->End("refused");
 }
 
+void
+CallFlow::RefuseAsUncertain(const std::string& aDetail)
+{
+  const bool idempotent = this->route->kind == CallKind::kIdempotent;
+  this->Refuse(idempotent ? RefusalReason::kEndpointFailed
+                          : RefusalReason::kOutcomeUnknown,
+               aDetail);
+}
+
+void
+CallFlow::RefuseAtShutdown(bool aMayHaveExecuted, const char* aDetail)
+{
+  if (aMayHaveExecuted) {
+    this->RefuseAsUncertain(aDetail);
+  } else {
+    this->RefuseWithRetryAfter(
+      RefusalReason::kNotReady, aDetail, kRetryAfterAtShutdown);
+  }
+}
+
+void
+CallFlow::EndAtExit()
+{
+  if (this->ended) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  if (this->IsStreaming()) {
+    this->Abort("shutdown");
+    return;
+  }
+  const bool underWay = this->exchangeActive || this->mayHaveExecuted;
+  this->RefuseAtShutdown(underWay, "the host shuts down");
+}
+
 void
 CallFlow::Abort(const char* aCause)
 {
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -20,13 +20,14 @@
 
 namespace tanagerseam {
 
-class CallFlow : public std::enable_shared_from_this<CallFlow>
+class CallFlow
+  : public ActiveCall
+  , public std::enable_shared_from_this<CallFlow>
 {
 public:
   CallFlow(GatewayState& aState,
            ServiceCall aCall,
            std::shared_ptr<EventReply> aReply);
-  ~CallFlow();
   CallFlow(const CallFlow&) = delete;
   CallFlow& operator=(const CallFlow&) = delete;
 
@@ -44,6 +45,7 @@
   bool IsQueued() const { return this->inDispatcher && !this->placed; }
   // False: refused, since the process exits before the call's deadline.
   bool CheckShutdown();
+  void EndAtExit() override;
 
 private:
   // ---- admission; each step refuses the call if it fails
@@ -153,6 +155,11 @@
   void RefuseWithRetryAfter(RefusalReason aReason,
                             const std::string& aDetail,
                             std::optional<Millis> aRetryAfter);
+  // Refuses a call for which the shutdown leaves no time. An endpoint may have
+  // executed it if aMayHaveExecuted.
+  void RefuseAtShutdown(bool aMayHaveExecuted, const char* aDetail);
+  // Refuses a call that an endpoint may have executed.
+  void RefuseAsUncertain(const std::string& aDetail);
   // Closes the client's connection without a complete response.
   void Abort(const char* aCause);
   // Releases the endpoint, the reserved tokens and unused quota. aOutcome is
@@ -176,6 +183,7 @@
   LogFields WithExchange(LogFields aFields) const;
 
   GatewayState& state;
+  const ActiveCallEntry activeEntry;
   ServiceCall call;
   std::shared_ptr<EventReply> reply;
   const TimePoint arrivedAt;
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -19,18 +19,13 @@
                              Refusal aRefusal,
                              TimePoint aDeadline)
   : state(aState)
+  , activeEntry(aState.activeCalls, *this)
   , call(std::move(aCall))
   , reply(std::move(aReply))
   , localRefusal(std::move(aRefusal))
   , deadline(aDeadline)
   , startedAt(BootNow())
 {
-  ++this->state.inFlightCalls;
-}
-
-ForwardedCall::~ForwardedCall()
-{
-  --this->state.inFlightCalls;
 }
 
 void
@@ -105,6 +100,23 @@
   this->End("client_gone", "");
 }
 
+void
+ForwardedCall::EndAtExit()
+{
+  if (this->ended) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  this->relay->Cancel();
+  if (this->relay->IsStreaming()) {
+    this->reply->Break();
+  } else {
+    this->SendRefusal(
+      MakeRefusal(RefusalReason::kOutcomeUnknown, "the host shuts down"));
+  }
+  this->End("shutdown", "");
+}
+
 void
 ForwardedCall::SendRefusal(const Refusal& aRefusal)
 {
--- a/gateway/forwarded_call.h
+++ b/gateway/forwarded_call.h
@@ -24,7 +24,9 @@
 
 namespace tanagerseam {
 
-class ForwardedCall : public std::enable_shared_from_this<ForwardedCall>
+class ForwardedCall
+  : public ActiveCall
+  , public std::enable_shared_from_this<ForwardedCall>
 {
 public:
   ForwardedCall(GatewayState& aState,
@@ -32,12 +34,12 @@
                 std::shared_ptr<EventReply> aReply,
                 Refusal aRefusal,
                 TimePoint aDeadline);
-  ~ForwardedCall();
   ForwardedCall(const ForwardedCall&) = delete;
   ForwardedCall& operator=(const ForwardedCall&) = delete;
 
   // Sends the call to the peer at aAddress.
   void Start(const std::string& aAddress);
+  void EndAtExit() override;
 
 private:
   void OnDone(const EventOutcome& aOutcome);
@@ -46,6 +48,7 @@
   void End(const char* aOutcome, const std::string& aDetail);
 
   GatewayState& state;
+  const ActiveCallEntry activeEntry;
   ServiceCall call;
   std::shared_ptr<EventReply> reply;
   Refusal localRefusal;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -115,7 +115,7 @@
                   1000);
     metrics.Set("tanagerseam_calls_under_way",
                 {},
-                static_cast<double>(this->state.inFlightCalls));
+                static_cast<double>(this->state.activeCalls->Count()));
     metrics.Set("tanagerseam_calls_waiting",
                 {},
                 static_cast<double>(this->state.dispatcher.QueuedCalls()));
@@ -453,10 +453,16 @@
   this->impl->state.budgets.ReturnUnused();
 }
 
+void
+Gateway::EndCalls()
+{
+  this->impl->state.activeCalls->EndAll();
+}
+
 size_t
 Gateway::InFlightCalls() const
 {
-  return this->impl->state.inFlightCalls;
+  return this->impl->state.activeCalls->Count();
 }
 
 } // namespace tanagerseam
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -151,6 +151,9 @@
   // budget tokens. The process exits after aUntilExit at the latest; which
   // calls are served until then is up to ShutdownSchedule.
   void BeginShutdown(Millis aUntilExit);
+  // The process exits: responds to calls that have no response yet, and breaks
+  // streams off.
+  void EndCalls();
   // Calls without a complete response, including forwarded ones.
   size_t InFlightCalls() const;
 
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -11,6 +11,7 @@
 
 #include "coldstart/coldstart.h"
 #include "fleet/member_table.h"
+#include "gateway/active_calls.h"
 #include "gateway/connection_policy.h"
 #include "gateway/fleet_record_peers.h"
 #include "gateway/gateway.h"
@@ -143,7 +144,8 @@
   // Calls in the dispatcher, queued or placed, by dispatch id.
   std::unordered_map<uint64_t, std::weak_ptr<CallFlow>> calls;
   uint64_t nextDispatchId = 1;
-  size_t inFlightCalls = 0;
+  const std::shared_ptr<ActiveCalls> activeCalls =
+    std::make_shared<ActiveCalls>();
   ShutdownSchedule shutdown;
   std::mt19937_64 random;
 };
--- a/gateway/testing/gateway_shutdown_test.cc
+++ b/gateway/testing/gateway_shutdown_test.cc
@@ -103,5 +103,50 @@
   EXPECT_EQ(first.requests.size() + second.requests.size(), 1u);
 }
 
+// Guards against an exit that only closes connections: a client can't tell then
+// that its call was never sent.
+TEST_F(GatewayShutdownTest, GivesACallWithoutAResponseAFinalOneAtTheExit)
+{
+  RawEndpoint silent(this->io, [](const std::string&) {
+    PresetResponse response;
+    response.delay = Millis(2000);
+    return response;
+  });
+  RawEndpoint engine(this->io, [](const std::string& aRequest) {
+    PresetResponse response;
+    response.bytes = MakeStreamHead(aRequest) + Chunk("id: 1\ndata: one\n\n");
+    response.delay = Millis(2000);
+    return response;
+  });
+  this->host.AddEndpoint("t-1", "tools", silent.Address());
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  RawClient stream(this->io, this->host.port);
+  stream.Send(this->TurnRequest("s-1", "", "x"));
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 12; ++i) {
+    clients.push_back(std::make_unique<RawClient>(this->io, this->host.port));
+    clients.back()->Send(
+      this->Request("POST", "/charge/1", "r-" + std::to_string(i), "x"));
+  }
+  this->RunFor(Millis(100));
+  const size_t sent = silent.requests.size();
+  ASSERT_LT(sent, clients.size()) << "some wait for the endpoint";
+  this->BeginShutdown();
+  this->host.gateway.EndCalls();
+  this->RunFor(Millis(100));
+  size_t uncertain = 0;
+  size_t notRun = 0;
+  for (const auto& client : clients) {
+    EXPECT_TRUE(IsCompleteResponse(client->Received()));
+    uncertain += StatusOf(client->Received()) == 502 ? 1 : 0;
+    notRun += StatusOf(client->Received()) == 503 ? 1 : 0;
+  }
+  EXPECT_EQ(uncertain, sent);
+  EXPECT_EQ(notRun, clients.size() - sent);
+  EXPECT_TRUE(stream.Closed());
+  EXPECT_FALSE(IsCompleteResponse(stream.Received()));
+  EXPECT_EQ(this->host.gateway.InFlightCalls(), 0u);
+}
+
 } // namespace
 } // namespace tanagerseam
