gateway: a stream that ends between CR and LF is broken off

What callers see: an event stream with neither a length nor chunks, whose lines end with CR LF, is cut by its endpoint behind the CR of its last line end. The client got it as a complete response, one byte short.

Cause: the parser of events takes a carriage return for a whole line end, as the format allows lines that end with it alone, so the end of the connection looked like one behind an event.

Change: SseParser remembers that lines of the stream end with both; the relay takes an end between the two for one within an event. Events are still passed on at the carriage return.

The place behind a whole event, with an orderly close, is left out: nothing marks it as early.

--- a/endpoint/sse_parser.cc
+++ b/endpoint/sse_parser.cc
@@ -42,6 +42,7 @@
     const bool isRestOfLineEnd = this->afterReturn && aBytes.front() == '\n';
     this->afterReturn = false;
     if (isRestOfLineEnd) {
+      this->usesCrLf = true;
       aBytes.remove_prefix(1);
       continue;
     }
--- a/endpoint/sse_parser.h
+++ b/endpoint/sse_parser.h
@@ -30,6 +30,9 @@
   {
     return this->partialLine.empty() && !this->eventOpen;
   }
+  // True if the last line end is a carriage return whose line feed has not
+  // come, in a stream whose lines end with both.
+  bool WithinLineEnd() const { return this->afterReturn && this->usesCrLf; }
   // Bytes of the event that has not ended.
   size_t BufferedBytes() const
   {
@@ -49,6 +52,8 @@
   bool eventOpen = false;
   // The last line ended with a carriage return: a line feed belongs to it.
   bool afterReturn = false;
+  // Some line ended with a carriage return and a line feed.
+  bool usesCrLf = false;
   bool tooLong = false;
 };
 
--- a/gateway/response_relay.cc
+++ b/gateway/response_relay.cc
@@ -145,7 +145,7 @@
 void
 ResponseRelay::CheckStreamEnd(EventOutcome& aOutcome) const
 {
-  if (!this->parser.BetweenEvents()) {
+  if (!this->parser.BetweenEvents() || this->parser.WithinLineEnd()) {
     aOutcome.error = EventError::kBroken;
     aOutcome.detail = "event stream ended within an event";
   } else if (this->events == 0 &&
