gateway: a stream whose event ids do not increase is broken off

What callers see: an event that they have comes again ("a number went back"), when an endpoint ignores Last-Event-Id and begins its stream anew, repeats events, or writes its response a second time behind a stream without a length: there is no end in the bytes at which the second one could be told apart.

Change: the parser knows an event's id; EventOrder compares it with the one before and, on resumable routes, with the client's last event. An event that the client has ends the exchange before it is passed on, and the stream is broken off, so that the client can go on from what it has.

--- a/endpoint/sse_parser.cc
+++ b/endpoint/sse_parser.cc
@@ -1,39 +1,84 @@
 #include "endpoint/sse_parser.h"
 
+#include <charconv>
+
 namespace tanagerseam {
 
-bool
-SseParser::ProcessLine(std::string_view aLine,
-                       const std::function<bool(std::string_view)>& aOnEvent)
+namespace {
+
+// The value of a field in aLine; unset if the line is another field.
+std::optional<std::string_view>
+FieldValue(std::string_view aLine, std::string_view aName)
 {
-  this->eventOpen = !aLine.empty();
-  if (aLine.empty()) {
-    const bool eventHasData = this->hasData;
-    const std::string event = std::move(this->data);
-    this->data.clear();
-    this->hasData = false;
-    return !eventHasData || aOnEvent(event);
+  if (aLine.substr(0, aName.size()) != aName ||
+      aLine.substr(aName.size(), 1) != ":") {
+    return std::nullopt;
   }
-  constexpr std::string_view kField = "data:";
-  if (aLine.substr(0, kField.size()) != kField) {
-    return true;
-  }
-  aLine.remove_prefix(kField.size());
+  aLine.remove_prefix(aName.size() + 1);
   if (!aLine.empty() && aLine.front() == ' ') {
     aLine.remove_prefix(1);
   }
-  if (this->data.size() + aLine.size() + 1 > kMaxEventBytes) {
+  return aLine;
+}
+
+} // namespace
+
+std::optional<uint64_t>
+ParseEventId(std::string_view aText)
+{
+  uint64_t id = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, id);
+  if (aText.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return id;
+}
+
+bool
+SseParser::EndEvent(const std::function<bool(std::string_view)>& aOnEvent)
+{
+  const bool eventHasData = this->hasData;
+  const std::string event = std::move(this->data);
+  this->data.clear();
+  this->hasData = false;
+  const bool taken = !eventHasData || aOnEvent(event);
+  this->eventId.reset();
+  return taken;
+}
+
+bool
+SseParser::AppendData(std::string_view aValue)
+{
+  if (this->data.size() + aValue.size() + 1 > kMaxEventBytes) {
     this->tooLong = true;
     return false;
   }
   if (this->hasData) {
     this->data.push_back('\n');
   }
-  this->data.append(aLine);
+  this->data.append(aValue);
   this->hasData = true;
   return true;
 }
 
+bool
+SseParser::ProcessLine(std::string_view aLine,
+                       const std::function<bool(std::string_view)>& aOnEvent)
+{
+  this->eventOpen = !aLine.empty();
+  if (aLine.empty()) {
+    return this->EndEvent(aOnEvent);
+  }
+  if (const auto value = FieldValue(aLine, "data")) {
+    return this->AppendData(*value);
+  }
+  if (const auto value = FieldValue(aLine, "id")) {
+    this->eventId = ParseEventId(*value);
+  }
+  return true;
+}
+
 bool
 SseParser::Feed(std::string_view aBytes,
                 const std::function<bool(std::string_view)>& aOnEvent)
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -156,6 +156,12 @@
     self->OnDone(aOutcome);
   };
   this->relay = this->state.MakeRelay(this->reply);
+  if (this->call.resumption && this->route->resumable) {
+    const auto lastId = ParseEventId(this->call.resumption->lastEvent);
+    if (lastId) {
+      this->relay->ResumeAfter(*lastId);
+    }
+  }
   this->relay->Start(std::move(out), std::move(handlers));
 }
 
--- a/gateway/response_relay.cc
+++ b/gateway/response_relay.cc
@@ -91,7 +91,8 @@
 ResponseRelay::OnData(const RelayHandlers& aHandlers, std::string_view aPiece)
 {
   if (!this->streaming) {
-    return this->body.Append(aPiece) || this->Fail("no memory for the body");
+    return this->body.Append(aPiece) ||
+           this->Fail(EventError::kTooLarge, "no memory for the body");
   }
   if (!this->ParseEvents(aHandlers, aPiece)) {
     return false;
@@ -106,22 +107,40 @@
 {
   const bool taken =
     this->parser.Feed(aPiece, [this, &aHandlers](std::string_view aData) {
-      ++this->events;
-      return !aHandlers.onEvent || aHandlers.onEvent(aData);
+      return this->TakeEvent(aHandlers, aData);
     });
+  if (this->failure) {
+    return false;
+  }
   if (this->parser.TooLong()) {
-    return this->Fail("an event is longer than allowed");
+    return this->Fail(EventError::kTooLarge, "an event is longer than allowed");
   }
   if (!taken || !this->partialEvent.Resize(this->parser.BufferedBytes())) {
-    return this->Fail("no memory for the events");
+    return this->Fail(EventError::kTooLarge, "no memory for the events");
   }
   return true;
 }
 
 bool
-ResponseRelay::Fail(const char* aDetail)
+ResponseRelay::TakeEvent(const RelayHandlers& aHandlers, std::string_view aData)
+{
+  if (!this->eventOrder.Take(this->parser.EventId())) {
+    return this->Fail(EventError::kRejected, "an event id did not increase");
+  }
+  ++this->events;
+  return !aHandlers.onEvent || aHandlers.onEvent(aData);
+}
+
+void
+ResponseRelay::ResumeAfter(uint64_t aLastEventId)
+{
+  this->eventOrder.ResumeAfter(aLastEventId);
+}
+
+bool
+ResponseRelay::Fail(EventError aError, const char* aDetail)
 {
-  this->tooLarge = aDetail;
+  this->failure = RelayFailure{ aError, aDetail };
   return false;
 }
 
@@ -133,9 +152,9 @@
     return;
   }
   EventOutcome outcome = aOutcome;
-  if (this->tooLarge != nullptr) {
-    outcome.error = EventError::kTooLarge;
-    outcome.detail = this->tooLarge;
+  if (this->failure) {
+    outcome.error = this->failure->error;
+    outcome.detail = this->failure->detail;
   } else if (outcome.error == EventError::kNone && this->streaming) {
     this->CheckStreamEnd(outcome);
   }
--- a/gateway/response_relay.h
+++ b/gateway/response_relay.h
@@ -14,7 +14,8 @@
 // references to the owner.
 //
 // An event stream that ends within an event is a failure, however its end was
-// framed. So is one whose only end is that of its connection, if no event came.
+// framed. So is one whose only end is that of its connection, if no event came,
+// and one whose event ids do not increase; see EventOrder.
 //
 // Memory: the relays of a host share one budget. A response that it has no room
 // for is a failure; reading pauses while more than kMaxUnsentBytes, or more
@@ -24,11 +25,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "call/call.h"
 #include "endpoint/sse_parser.h"
+#include "gateway/event_order.h"
 #include "http/byte_budget.h"
 
 namespace tanagerseam {
@@ -46,6 +49,12 @@
   std::function<void(const EventOutcome&)> onDone;
 };
 
+struct RelayFailure
+{
+  EventError error = EventError::kNone;
+  const char* detail = "";
+};
+
 class ResponseRelay : public std::enable_shared_from_this<ResponseRelay>
 {
 public:
@@ -57,6 +66,8 @@
   ResponseRelay& operator=(const ResponseRelay&) = delete;
 
   void Start(EventCall aCall, RelayHandlers aHandlers);
+  // Called before Start: the client has the events up to aLastEventId.
+  void ResumeAfter(uint64_t aLastEventId);
   // Ends the exchange and its connection.
   void Cancel();
   // Sends a response that is no event stream to the client.
@@ -79,8 +90,9 @@
   // False ends the exchange.
   bool OnData(const RelayHandlers& aHandlers, std::string_view aPiece);
   bool ParseEvents(const RelayHandlers& aHandlers, std::string_view aPiece);
+  bool TakeEvent(const RelayHandlers& aHandlers, std::string_view aData);
   // Keeps the cause for OnDone; returns false.
-  bool Fail(const char* aDetail);
+  bool Fail(EventError aError, const char* aDetail);
   // Makes a stream that is not whole a failure.
   void CheckStreamEnd(EventOutcome& aOutcome) const;
   void SendPiece(std::string_view aPiece);
@@ -97,8 +109,9 @@
   size_t events = 0;
   ByteShare partialEvent;
   ByteShare unsent;
-  // Why the response ended at a limit; null if it did not.
-  const char* tooLarge = nullptr;
+  EventOrder eventOrder;
+  // Why this relay ended the exchange; unset if it did not.
+  std::optional<RelayFailure> failure;
   bool streaming = false;
   bool readPaused = false;
 };
--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -277,6 +277,43 @@
   }
 }
 
+// Guards against a client that gets an event twice: the endpoint repeats its
+// stream, or writes the response once more behind one without a length.
+TEST_F(GatewayTurnTest, BreaksOffAStreamWhoseEventIdsDoNotIncrease)
+{
+  const std::string two = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+  std::string again;
+  RawEndpoint engine(this->io, [&](const std::string& aRequest) {
+    const std::string head = MakeStreamHeadWithoutLength(aRequest);
+    PresetResponse response;
+    response.bytes = head + two;
+    response.delay = Millis(20);
+    response.delayedBytes = again == "response" ? head + two : again;
+    response.close = true;
+    return response;
+  });
+  this->host.AddEndpoint("e-1", "engines", engine.Address());
+  for (const char* bytes :
+       { "id: 2\ndata: two\n\n", "id: 1\ndata: one\n\n", "response" }) {
+    SCOPED_TRACE(bytes);
+    again = bytes;
+    const std::string received =
+      this->SendAndReceive(this->host, this->TurnRequest("t-1", "", "x"));
+    EXPECT_FALSE(IsCompleteResponse(received));
+    EXPECT_NE(received.find(two), std::string::npos);
+    EXPECT_EQ(received.rfind("data: two"), received.find("data: two"));
+    EXPECT_EQ(received.rfind("data: one"), received.find("data: one"));
+  }
+  for (const char* bytes : { "id: 10\ndata: ten\n\n",
+                             "data: unnumbered\n\n",
+                             "id: x\ndata: named\n\n" }) {
+    SCOPED_TRACE(bytes);
+    again = bytes;
+    EXPECT_TRUE(IsCompleteResponse(
+      this->SendAndReceive(this->host, this->TurnRequest("t-2", "", "x"))));
+  }
+}
+
 // Guards against tokens that are handed out and not counted: the part of an
 // event that a broken stream ended in.
 TEST_F(GatewayTurnTest, CountsTheEventThatABrokenStreamEndedIn)
