gateway: a stream's version is inferred only from a newer registry reading

A client that does not name its stream is served where one version alone can have begun it. The host took a registry reading of up to 2.5 s ago for the present state, and counted a reading from the moment its response was processed: a host that was suspended with the response in its socket took it for one of now. Named streams come to the same place when no peer knows them, or none answers.

Ruled out: streams whose name a peer knows (the version is told), more than one version within two timeouts, moved routes: each was refused before, and still is, without a reading.

Change: the inference waits for a reading that began after the call arrived, and KeyedFeed::ReadNow starts one at once, beside the long poll. VersionHistory counts a reading from its begin, so that a suspension is also seen as a gap.

Evidence: GatewayResumptionTest.InfersNoVersionFromAReadingOlderThanTheCall fails with the wait taken out (status 200 at once in each of its four parts) and passes with it.

--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -51,6 +51,18 @@
 
 struct GatewayProcess::Impl
 {
+  // Reads the server entries when the gateway asks for it.
+  struct ServerRegistry : public EndpointRegistry
+  {
+    explicit ServerRegistry(Impl& aProcess)
+      : process(aProcess)
+    {
+    }
+    void ReadNow() override { this->process.serversFeed.ReadNow(); }
+
+    Impl& process;
+  };
+
   Impl(GatewayProcessSettings aSettings, std::string aPath)
     : settings(std::move(aSettings))
     , path(std::move(aPath))
@@ -66,7 +78,8 @@
                                    store,
                                    link,
                                    metrics,
-                                   heldMemory })
+                                   heldMemory,
+                                   &registry })
     , configurationFeed(io,
                         store,
                         { kConfigurationTopic, ConfirmWait(settings) },
@@ -231,9 +244,9 @@
     handlers.onRecord = [this](const KeyedChange& aChange) {
       this->ApplyServerEntry(aChange.key, aChange.value);
     };
-    handlers.onCaughtUp = [this](TimePoint, int64_t) {
+    handlers.onCaughtUp = [this](TimePoint aAskedAt, int64_t) {
       this->LogDependencyChange("servers", this->serversLost, false);
-      this->gateway.ConfirmEndpoints();
+      this->gateway.ConfirmEndpoints(aAskedAt);
     };
     handlers.onReadFailed = [this](LogFault) {
       this->LogDependencyChange("servers", this->serversLost, true);
@@ -451,6 +464,7 @@
   PlatformDialect dialect;
   FleetLink link;
   std::shared_ptr<HeldMemory> heldMemory;
+  ServerRegistry registry{ *this };
   Gateway gateway;
   KeyedFeed configurationFeed;
   KeyedFeed serversFeed;
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -62,6 +62,10 @@
   // No host knows the stream: sets its origin if only one version can have
   // begun it.
   void InferStreamOrigin(StreamLookupResult aLookup);
+  // The same, with a reading of the registry that is newer than the call.
+  void InferFromRegistry(StreamLookupResult aLookup);
+  // When the stream that the call resumes may have begun at the earliest.
+  TimePoint EarliestBegin(TimePoint aNow) const;
   // Goes on with the call at its origin; refuses it if that is unknown.
   void ContinueAtOrigin(StreamLookupResult aLookup);
   // Takes one call out of the organisation's rate quota, then places the call.
--- a/gateway/call_resumption.cc
+++ b/gateway/call_resumption.cc
@@ -35,22 +35,53 @@
     });
 }
 
+// The stream began before this call came, so a reading of the registry that
+// starts now shows its version, unless that has left.
 void
 CallFlow::InferStreamOrigin(StreamLookupResult aLookup)
+{
+  const TimePoint now = BootNow();
+  const bool severalVersions =
+    this->state.versions.VersionsSince(this->service, this->EarliestBegin(now))
+      .size() > 1;
+  if (severalVersions || this->route->targets.size() > 1 ||
+      this->state.HasMovedSince(*this->route,
+                                now - StreamOrigins::kStreamMemory)) {
+    this->ContinueAtOrigin(aLookup);
+    return;
+  }
+  this->state.registryReadings.Await(
+    this->arrivedAt, [self = this->shared_from_this(), aLookup](bool aRead) {
+      if (self->ended) {
+        return;
+      }
+      if (aRead) {
+        self->InferFromRegistry(aLookup);
+      } else {
+        self->ContinueAtOrigin(StreamLookupResult::kNoAnswer);
+      }
+    });
+}
+
+TimePoint
+CallFlow::EarliestBegin(TimePoint aNow) const
+{
+  return aNow - kAttemptsOfAStream * this->route->timeout;
+}
+
+void
+CallFlow::InferFromRegistry(StreamLookupResult aLookup)
 {
   const TimePoint now = BootNow();
   const TimePoint earliestResumable = now - StreamOrigins::kStreamMemory;
-  const TimePoint earliestBegin =
-    now - kAttemptsOfAStream * this->route->timeout;
   // Clients set their own number of attempts and pauses, so what this host has
   // not watched is unknown for as long as any stream may be resumed.
-  if (this->route->targets.size() > 1 ||
-      this->state.HasMovedSince(*this->route, earliestResumable) ||
-      !this->state.versions.HasWatchedSince(earliestResumable, now)) {
+  if (!this->state.versions.HasWatchedSince(earliestResumable, now)) {
     this->ContinueAtOrigin(aLookup);
     return;
   }
-  const auto sole = this->state.SoleVersion(this->service, earliestBegin);
+  const auto sole =
+    this->state.SoleVersion(this->service, this->EarliestBegin(now));
   std::vector<std::string> former =
     this->state.versions.VersionsSince(this->service, earliestResumable);
   former.erase(std::remove(former.begin(), former.end(), sole.value_or("")),
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -379,14 +379,16 @@
 {
   this->impl->state.endpoints.OnRegistryLost();
   this->impl->state.versions.MarkUnavailable();
+  this->impl->state.registryReadings.OnFailed();
 }
 
 void
-Gateway::ConfirmEndpoints()
+Gateway::ConfirmEndpoints(TimePoint aReadStartedAt)
 {
   this->impl->state.endpoints.OnRegistryRecovered(BootNow());
-  this->impl->state.versions.Confirm(BootNow());
+  this->impl->state.versions.Confirm(aReadStartedAt);
   this->impl->state.endpointsConfirmed = true;
+  this->impl->state.registryReadings.OnRead(aReadStartedAt);
 }
 
 void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -6,7 +6,7 @@
 //   gateway.SetCatalog(catalog);
 //   gateway.ConfirmCatalog(readStartedAt);
 //   gateway.PutEndpoint(entry);
-//   gateway.ConfirmEndpoints();
+//   gateway.ConfirmEndpoints(readStartedAt);
 //   gateway.Start();
 //   gateway.Handle(request, reply);      // called by the HTTP server
 //   gateway.BeginShutdown(Millis(7300)); // on SIGTERM
@@ -93,6 +93,15 @@
   int logPartitions = 12;
 };
 
+// The registry of endpoints, as the gateway uses it.
+class EndpointRegistry
+{
+public:
+  virtual ~EndpointRegistry() = default;
+  // Starts a reading at once; its end is told by ConfirmEndpoints.
+  virtual void ReadNow() = 0;
+};
+
 struct GatewayDependencies
 {
   restinio::asio_ns::io_context& io;
@@ -104,6 +113,8 @@
   // Bounds all that the host holds for clients and endpoints; shared with its
   // HTTP server. Null: only responses are bounded.
   std::shared_ptr<HeldMemory> heldMemory;
+  // Null: the gateway waits for readings that come anyway.
+  EndpointRegistry* registry = nullptr;
 };
 
 class Gateway
@@ -130,9 +141,10 @@
   void ConfirmEvacuations(int64_t aPosition);
   void PutEndpoint(EndpointEntry aEndpoint);
   void RemoveEndpoint(const std::string& aId);
-  // Reading the endpoint registry failed, or succeeded.
+  // Reading the endpoint registry failed, or a reading that began at
+  // aReadStartedAt succeeded.
   void MarkEndpointsUnavailable();
-  void ConfirmEndpoints();
+  void ConfirmEndpoints(TimePoint aReadStartedAt);
   // Adds or renews a host of the fleet from its announcement. aPreexisting: the
   // announcement was in the store before this host started reading, so its age
   // is not known.
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -79,6 +79,7 @@
   , streamOrigins(this->settings.host,
                   aDependencies.link,
                   aDependencies.metrics)
+  , registryReadings(aDependencies.io, aDependencies.registry)
   , persistentLog(aDependencies.io, aDependencies.log)
   , budgets(this->persistentLog, MakeProgramSettings(this->settings))
   , turnBudgets(this->settings.host,
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "gateway/peer_table.h"
 #include "gateway/quota_client.h"
 #include "gateway/record_relay.h"
+#include "gateway/registry_readings.h"
 #include "gateway/response_relay.h"
 #include "gateway/shutdown_schedule.h"
 #include "gateway/stream_origin_client.h"
@@ -128,6 +129,7 @@
   QuotaClient endpointQuotaClient;
   StreamOriginClient streamOrigins;
   VersionHistory versions;
+  RegistryReadings registryReadings;
   // When a route last changed its services, by host and path prefix.
   std::map<std::pair<std::string, std::string>, TimePoint> routesMovedAt;
   ServiceReach reach;
--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -36,6 +36,21 @@
   std::shared_ptr<HeldMemory> heldMemory;
 };
 
+// A registry of endpoints that is read as soon as the gateway asks for it.
+class PromptRegistry : public EndpointRegistry
+{
+public:
+  void ReadNow() override
+  {
+    if (this->onRead) {
+      this->onRead(BootNow());
+    }
+  }
+
+  // Called with the start of each reading; null: no reading ends.
+  std::function<void(TimePoint)> onRead;
+};
+
 // One host: a gateway and its HTTP server.
 class GatewayHost
 {
@@ -54,8 +69,12 @@
                                    aLog,
                                    link,
                                    metrics,
-                                   aOptions.heldMemory })
+                                   aOptions.heldMemory,
+                                   &registry })
   {
+    this->registry.onRead = [this](TimePoint aStartedAt) {
+      this->gateway.ConfirmEndpoints(aStartedAt);
+    };
     EventServerSettings settings;
     settings.port = this->port;
     settings.heldMemory = aOptions.heldMemory;
@@ -129,7 +148,7 @@
     entry.coldLeft = aColdLeft;
     entry.slots = 4;
     this->gateway.PutEndpoint(entry);
-    this->gateway.ConfirmEndpoints();
+    this->gateway.ConfirmEndpoints(BootNow());
   }
 
   FleetMember Member(const std::string& aName,
@@ -144,6 +163,7 @@
   EventClient client;
   PlatformDialect dialect;
   FleetLink link;
+  PromptRegistry registry;
   Gateway gateway;
   std::unique_ptr<EventServer> server;
 };
--- a/gateway/testing/gateway_forward_test.cc
+++ b/gateway/testing/gateway_forward_test.cc
@@ -91,8 +91,8 @@
   // Both hosts report ready, but neither has an endpoint.
   this->host.ApplyCatalog();
   this->peer.ApplyCatalog();
-  this->host.gateway.ConfirmEndpoints();
-  this->peer.gateway.ConfirmEndpoints();
+  this->host.gateway.ConfirmEndpoints(BootNow());
+  this->peer.gateway.ConfirmEndpoints(BootNow());
   this->ExchangeReports();
   EXPECT_EQ(StatusOf(this->SendAndReceive(
               this->host, this->Request("POST", "/charge/1", "r-1", "x"))),
--- a/gateway/testing/gateway_resumption_test.cc
+++ b/gateway/testing/gateway_resumption_test.cc
@@ -40,7 +40,7 @@
     entry.slots = 4;
     entry.draining = aDraining;
     this->host.gateway.PutEndpoint(entry);
-    this->host.gateway.ConfirmEndpoints();
+    this->host.gateway.ConfirmEndpoints(BootNow());
   }
 
   void RemoveEngine(const std::string& aVersion)
@@ -48,7 +48,7 @@
     // One that did not drain would be kept for a time.
     this->PutEngine(aVersion, "engines", true);
     this->host.gateway.RemoveEndpoint("e-" + aVersion);
-    this->host.gateway.ConfirmEndpoints();
+    this->host.gateway.ConfirmEndpoints(BootNow());
   }
 
   int Follow(const std::string& aHeaders = "")
@@ -63,7 +63,7 @@
   void WaitTwoTimeouts()
   {
     this->RunFor(2 * kTimeout + Millis(50));
-    this->host.gateway.ConfirmEndpoints();
+    this->host.gateway.ConfirmEndpoints(BootNow());
   }
 
   RawEndpoint engine{ io, [](const std::string& aRequest) {
@@ -139,11 +139,52 @@
   this->host.gateway.PutMember(peer.Member("host-2"), false);
   peer.gateway.PutMember(this->host.Member("host-1"), false);
   this->ExchangeReports();
-  this->host.gateway.ConfirmEndpoints();
+  this->host.gateway.ConfirmEndpoints(BootNow());
   EXPECT_EQ(this->Resume(), 503);
   EXPECT_TRUE(asked);
 }
 
+// Guards against text joined from two versions at a host that was cut off or
+// suspended: it took the registry as it had read it before the call for the
+// present one, while endpoints of a new version joined and began streams.
+TEST_F(GatewayResumptionTest, InfersNoVersionFromAReadingOlderThanTheCall)
+{
+  this->PutEngine("v1");
+  const std::string resumption =
+    this->Request("POST", "/follow/1", "f-1", "input", "Last-Event-Id: 0\r\n");
+  const auto confirm = this->host.registry.onRead;
+  this->host.registry.onRead = nullptr;
+  const auto responseAfter = [&](const std::function<void()>& aReading) {
+    RawClient client(this->io, this->host.port);
+    client.Send(resumption);
+    this->RunFor(Millis(20));
+    EXPECT_EQ(client.Received(), "") << "the host does not know yet";
+    aReading();
+    this->RunUntil([&client] { return client.Received() != ""; });
+    return StatusOf(client.Received());
+  };
+  {
+    SCOPED_TRACE("a reading that began before the call");
+    const TimePoint startedAt = BootNow();
+    EXPECT_EQ(responseAfter([&] { confirm(startedAt); }), 503);
+  }
+  {
+    SCOPED_TRACE("the registry can't be read");
+    EXPECT_EQ(
+      responseAfter([this] { this->host.gateway.MarkEndpointsUnavailable(); }),
+      503);
+    this->host.gateway.ConfirmEndpoints(BootNow());
+  }
+  {
+    SCOPED_TRACE("a reading after the call shows no other version");
+    EXPECT_EQ(responseAfter([&] { confirm(BootNow()); }), 200);
+  }
+  {
+    SCOPED_TRACE("one that shows a new version");
+    EXPECT_EQ(responseAfter([this] { this->PutEngine("v2"); }), 503);
+  }
+}
+
 // Guards against a client that gets events twice: the endpoint ignores the
 // client's last event and begins its stream anew.
 TEST_F(GatewayResumptionTest, PassesNoEventOnThatTheClientHas)
--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -23,7 +23,7 @@
 //
 //   VersionHistory versions;
 //   versions.See("engines", "v1.2", now);     // also when it leaves
-//   versions.Confirm(now);                    // the registry was read
+//   versions.Confirm(readStartedAt);          // the registry was read
 //   versions.HasWatchedSince(now - StreamOrigins::kStreamMemory, now);
 //   versions.SoleVersion("engines", now - longestStream, now);
 //   versions.VersionsSince("engines", now - StreamOrigins::kStreamMemory);
@@ -130,8 +130,10 @@
   void See(const std::string& aService,
            const std::string& aVersion,
            TimePoint aNow);
-  // The registry has been read, and See called for all its entries.
-  void Confirm(TimePoint aNow);
+  // A reading of the registry that began at aReadStartedAt is done, and See was
+  // called for all its entries. It tells nothing about the time after that
+  // begin: the host may have been suspended before it saw the response.
+  void Confirm(TimePoint aReadStartedAt);
   // The registry could not be read.
   void MarkUnavailable() { this->confirmedAt = TimePoint{}; }
   // The fleet starts for the first time, so no stream began before this host
--- a/resumption/version_history.cc
+++ b/resumption/version_history.cc
@@ -14,19 +14,23 @@
 }
 
 void
-VersionHistory::Confirm(TimePoint aNow)
+VersionHistory::Confirm(TimePoint aReadStartedAt)
 {
+  // Readings may overlap; one that began earlier adds nothing.
+  if (aReadStartedAt < this->lastReadAt) {
+    return;
+  }
   const bool isFirst = this->watchedSince == TimePoint{};
-  const bool hasGap = !isFirst && aNow - this->lastReadAt > kMaxGap;
+  const bool hasGap = !isFirst && aReadStartedAt - this->lastReadAt > kMaxGap;
   if (isFirst || hasGap) {
-    this->watchedSince = aNow;
+    this->watchedSince = aReadStartedAt;
   }
   if (hasGap) {
     this->isNewFleet = false;
   }
-  this->lastReadAt = aNow;
-  this->confirmedAt = aNow;
-  this->Forget(aNow);
+  this->lastReadAt = aReadStartedAt;
+  this->confirmedAt = aReadStartedAt;
+  this->Forget(aReadStartedAt);
 }
 
 size_t
