platform: an odd entry of another writer is left out, whatever it holds

What operators of other systems saw: one entry among those of the servers, deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again, or stopped them following it.

Deep nesting (130,000 levels) and 1e999 were read without harm. - Entries with a port out of range, no port, a name or a path in place of an address, more than 2^31 slots, a negative or far future start, an empty or huge name were taken for endpoints and got calls; an id with CR LF put lines of its writer into the head of requests; a start in the far future hid all later entries of the same id.

--- a/daemon/member_entry.cc
+++ b/daemon/member_entry.cc
@@ -34,16 +34,19 @@
 {
   const bool allowExceptions = false;
   const auto fields = nlohmann::json::parse(aText, nullptr, allowExceptions);
-  if (!fields.is_object() || !fields.contains("address") ||
-      !fields["address"].is_string()) {
+  const bool hasAddress = fields.is_object() && fields.contains("address") &&
+                          fields["address"].is_string();
+  const auto address = hasAddress
+                         ? ParseHostPort(fields["address"].get<std::string>())
+                         : std::nullopt;
+  if (!address) {
     LogWarn("member_entry_unreadable", { { "member", aHost } });
     return std::nullopt;
   }
-  const HostPort address = SplitAddress(fields["address"].get<std::string>());
   const auto zone = fields.find("zone");
   const bool hasZone = zone != fields.end() && zone->is_string();
   return FleetMember{
-    aHost, address.ip, address.port, hasZone ? zone->get<std::string>() : ""
+    aHost, address->ip, address->port, hasZone ? zone->get<std::string>() : ""
   };
 }
 
--- a/daemon/member_entry.h
+++ b/daemon/member_entry.h
@@ -10,16 +10,12 @@
 #include <string>
 
 #include "fleet/fleet.h"
+#include "http/host_port.h"
 
 namespace tanagerseam {
 
-struct HostPort
-{
-  std::string ip;
-  uint16_t port = 0;
-};
-
-// The port is 0 if it is missing or not a number.
+// Of the settings, which were checked. The port is 0 if it is missing or not a
+// number.
 HostPort
 SplitAddress(const std::string& aAddress);
 
@@ -35,7 +31,7 @@
 std::string
 MemberEntryText(const MemberEntry& aEntry);
 
-// Nothing for an entry without an address. Unknown fields are ignored.
+// Nothing for an entry without a usable address. Unknown fields are ignored.
 std::optional<FleetMember>
 ParseMember(const std::string& aHost, const std::string& aText);
 
--- a/tests/integration/gateway_fleet_test.cc
+++ b/tests/integration/gateway_fleet_test.cc
@@ -91,6 +91,45 @@
     this->Until([this] { return this->Look(0) == 200; }, Millis(2000)));
 }
 
+// Guards against an odd entry of another writer that ends the hosts that read
+// it, at each start again, or hides the entries behind it.
+TEST_F(GatewayFleet, OddEntriesOfOthersEndNoHostAndHideNoEndpoint)
+{
+  const std::string nested(130000, '[');
+  const std::string sound =
+    EndpointJson("tools", this->endpoint.Address(), "ready");
+  const auto withAddress = [](const std::string& aAddress) {
+    return EndpointJson("tools", aAddress, "ready");
+  };
+  std::string largeNumber = sound;
+  largeNumber.insert(largeNumber.size() - 1, ",\"born\":1e999");
+  this->Register("t-1", "tools", this->endpoint.Address(), "draining");
+  for (const char* topic : { "keyed.servers", "keyed.members" }) {
+    this->store.PutKeyed(topic, "odd-1", nested);
+    this->store.PutKeyed(
+      topic, "odd-2", nested + std::string(nested.size(), ']'));
+    this->store.PutKeyed(topic, "odd-3", largeNumber);
+    this->store.PutKeyed(topic, "odd-4", withAddress("127.0.0.1:99999"));
+    this->store.PutKeyed(topic, "odd-5", withAddress("no address"));
+    this->store.PutKeyed(topic, "odd\r\nX-Tenant: 6", withAddress("1.2.3.4:0"));
+  }
+  this->Register("t-2", "tools", this->endpoint.Address());
+  // The hosts read the registry about once a second.
+  this->RunFor(Millis(2000));
+  for (const char* when : { "while they run", "after a restart" }) {
+    SCOPED_TRACE(when);
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_EQ(this->Look(static_cast<size_t>(i) % 2), 200);
+    }
+    for (auto& host : this->hosts) {
+      EXPECT_TRUE(host->process->Running());
+      host->process->Kill();
+      host->Start();
+    }
+    ASSERT_TRUE(this->Until([this] { return this->AllReady(); }));
+  }
+}
+
 TEST_F(GatewayFleet, AGracefulShutdownCutsNoCall)
 {
   RawClient client(this->io, this->hosts[0]->callPort);
