gateway: an unframed stream whose endpoint crashed is broken off

Cause: a stream may have neither a length nor chunks and end with its connection. The kernel closes the connections of a process that crashed in order, as the process itself does at the end of a response. A cut within an event was seen; one exactly behind an event looked like the end, and a process that writes each event at once and waits in between is nearly always cut there. The turn was kept in the history, too.

Change: when such a stream ends behind an event, the host opens a connection to the endpoint and closes it. If it is refused, nothing listens there any more: the stream is broken off, and its client may resume it. Silence proves nothing, and an endpoint that is leaving may end with its last response: both count as whole. The log line unframed_stream_ended says what was found.

--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -345,7 +345,7 @@
 CallFlow::OnResponseComplete()
 {
   if (this->IsStreaming()) {
-    this->PersistTurn();
+    this->CheckStreamWasWhole();
     return;
   }
   this->relay->SendWhole();
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -17,6 +17,7 @@
 
 #include "gateway/gateway_state.h"
 #include "gateway/response_relay.h"
+#include "http/listen_check.h"
 
 namespace tanagerseam {
 
@@ -131,6 +132,10 @@
   // Counts an event, and keeps its data for the history. False if there is no
   // room for it.
   bool RecordEvent(std::string_view aData);
+  // Finishes the stream, unless its endpoint crashed: the end of a connection
+  // is the same for a stream that ends with it and for a crash behind an event.
+  void CheckStreamWasWhole();
+  void OnListenState(ListenState aState);
   // Writes the turn to the record log if the route keeps history, then finishes
   // the stream; aborts it if the write fails.
   void PersistTurn();
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -2,8 +2,17 @@
 // stream.
 #include "gateway/call_flow.h"
 
+#include <algorithm>
+
 namespace tanagerseam {
 
+namespace {
+
+// Limit on asking an endpoint whether it still listens.
+constexpr Millis kListenCheckTimeout(300);
+
+} // namespace
+
 bool
 CallFlow::RecordEvent(std::string_view aData)
 {
@@ -35,6 +44,45 @@
     { this->service, this->endpointVersion });
 }
 
+void
+CallFlow::CheckStreamWasWhole()
+{
+  const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
+  const auto address =
+    endpoint == nullptr ? std::nullopt : ParseHostPort(endpoint->address);
+  const bool endedByClose =
+    this->lastExchange.body.framing == BodyFraming::kClose;
+  // One that leaves may end its process with its last response.
+  const bool mustListen = this->state.endpoints.IsUsable(this->endpointId);
+  if (!endedByClose || !mustListen || !address) {
+    this->PersistTurn();
+    return;
+  }
+  CheckListening(this->state.dependencies.io,
+                 *address,
+                 std::min(this->RemainingTime(), kListenCheckTimeout),
+                 [self = this->shared_from_this()](ListenState aState) {
+                   self->OnListenState(aState);
+                 });
+}
+
+void
+CallFlow::OnListenState(ListenState aState)
+{
+  if (this->ended) {
+    return;
+  }
+  LogInfo(
+    "unframed_stream_ended",
+    this->WithCallIds({ { "endpoint", this->endpointId },
+                        { "endpoint_is", std::string(NameOf(aState)) } }));
+  if (aState == ListenState::kRefused) {
+    this->Abort("endpoint_crashed");
+    return;
+  }
+  this->PersistTurn();
+}
+
 void
 CallFlow::PersistTurn()
 {
--- a/gateway/testing/gateway_response_test.cc
+++ b/gateway/testing/gateway_response_test.cc
@@ -277,6 +277,67 @@
   }
 }
 
+// Guards against a stream without a length whose endpoint crashed behind an
+// event: the client took it for whole, and the turn was kept.
+TEST_F(GatewayTurnTest, DoesNotCompleteAStreamWhoseEndpointCrashed)
+{
+  const auto oneEvent = [](const std::string& aRequest) {
+    PresetResponse response;
+    response.bytes =
+      MakeStreamHeadWithoutLength(aRequest) + "id: 1\ndata: one\n\n";
+    response.close = true;
+    return response;
+  };
+  const auto oneEventAndCrash = [&oneEvent](const std::string& aRequest) {
+    PresetResponse response = oneEvent(aRequest);
+    response.crash = true;
+    return response;
+  };
+  {
+    SCOPED_TRACE("it still listens");
+    RawEndpoint engine(this->io, oneEvent);
+    this->host.AddEndpoint("e-1", "engines", engine.Address());
+    EXPECT_TRUE(IsCompleteResponse(
+      this->SendAndReceive(this->host, this->TurnRequest("t-1", "", "x"))));
+  }
+  {
+    SCOPED_TRACE("it crashed");
+    RawEndpoint engine(this->io, oneEventAndCrash);
+    this->host.AddEndpoint("e-1", "engines", engine.Address());
+    const std::string received =
+      this->SendAndReceive(this->host, this->TurnRequest("t-2", "", "x"));
+    EXPECT_FALSE(IsCompleteResponse(received));
+    EXPECT_NE(received.find("data: one"), std::string::npos);
+    EXPECT_EQ(StatusOf(this->SendAndReceive(
+                this->host, this->TurnRequest("t-3", "t-2", "y"))),
+              404);
+  }
+  {
+    SCOPED_TRACE("it was leaving, and ended with its last response");
+    RawEndpoint engine(this->io, [&oneEvent](const std::string& aRequest) {
+      PresetResponse response = oneEvent(aRequest);
+      response.delayedBytes = response.bytes;
+      response.bytes.clear();
+      response.delay = Millis(50);
+      return response;
+    });
+    EndpointEntry entry;
+    entry.id = "e-1";
+    entry.service = "engines";
+    entry.address = engine.Address();
+    entry.slots = 4;
+    this->host.gateway.PutEndpoint(entry);
+    RawClient client(this->io, this->host.port);
+    client.Send(this->TurnRequest("t-4", "", "x"));
+    EXPECT_TRUE(this->RunUntil([&engine] { return !engine.requests.empty(); }));
+    entry.draining = true;
+    this->host.gateway.PutEndpoint(entry);
+    engine.StopListening();
+    EXPECT_TRUE(this->RunUntil(
+      [&client] { return IsCompleteResponse(client.Received()); }));
+  }
+}
+
 // Guards against a client that gets an event twice: the endpoint repeats its
 // stream, or writes the response once more behind one without a length.
 TEST_F(GatewayTurnTest, BreaksOffAStreamWhoseEventIdsDoNotIncrease)
--- a/gateway/testing/raw_peer.h
+++ b/gateway/testing/raw_peer.h
@@ -115,11 +115,18 @@
            std::to_string(this->acceptor.local_endpoint().port());
   }
 
+  // Accepts no more connections; those that are open go on.
+  void StopListening()
+  {
+    net::error_code ignored;
+    this->acceptor.close(ignored);
+  }
+
   // Closes all connections and accepts no more.
   void Crash()
   {
+    this->StopListening();
     net::error_code ignored;
-    this->acceptor.close(ignored);
     for (const auto& entry : this->connections) {
       if (const auto connection = entry.lock()) {
         connection->socket.close(ignored);
--- a/tests/integration/gateway_stream_order_test.cc
+++ b/tests/integration/gateway_stream_order_test.cc
@@ -201,5 +201,25 @@
   }
 }
 
+// Guards against rule ORDER where no byte tells: an engine that crashes behind
+// an event ends a stream without a length as one that is whole does.
+TEST_F(GatewayStreamOrder, NoStreamWhoseEngineCrashedLooksWhole)
+{
+  this->row = { Cut::kBehindEvent, "", EventsUpTo(2), "" };
+  this->framing = Framing::kClose;
+  RawEndpoint crashing(this->io, [this](const std::string& aRequest) {
+    PresetResponse response = this->Stream(aRequest);
+    response.crash = true;
+    return response;
+  });
+  this->Register("e-1", "engines", this->endpoint.Address(), "draining");
+  this->Register("e-2", "engines", crashing.Address());
+  // The hosts read the registry about once a second.
+  this->RunFor(Millis(2000));
+  const ReceivedStream received = this->Follow(0);
+  EXPECT_FALSE(received.complete);
+  EXPECT_EQ(received.ids, (std::vector<int>{ 1, 2 }));
+}
+
 } // namespace
 } // namespace tanagerseam
