Logs: digest, address and a second head in a body tell the causes of MIXED apart

Now `ended` and `forward_ended` say whether the response bore its endpoint's digest, `placed` names the address, `address_tried_again` says that a call comes to an address for the second time (two entries of the registry may name one), and `body_holds_head` that a body without a length went on into another response. No decision changes.

--- a/call/call.h
+++ b/call/call.h
@@ -113,6 +113,8 @@
   int status = 0;
   // Headers that are passed on to the client.
   HttpHeaders headers;
+  // These hold the endpoint's digest of its response.
+  bool hasDigest = false;
   // The endpoint states that it did not execute the call.
   bool notExecuted = false;
   bool isEventStream = false;
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -53,6 +53,7 @@
   const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
   LogFields fields = {
     { "endpoint", aPlacement.endpoint },
+    { "address", endpoint == nullptr ? "" : endpoint->address },
     { "version", endpoint == nullptr ? "" : endpoint->version },
     { "rate_limit", rateLimit ? std::to_string(*rateLimit) : "" },
     { "own_load", std::to_string(aPlacement.ownLoad) },
@@ -143,6 +144,11 @@
     this->isTrial || this->state.connections.NeedsOwnConnection(
                        this->route->kind, this->service, BootNow());
   this->triedEndpoints.insert(this->endpointId);
+  if (!this->triedAddresses.insert(endpoint->address).second) {
+    LogInfo("address_tried_again",
+            this->WithCallIds({ { "endpoint", this->endpointId },
+                                { "address", endpoint->address } }));
+  }
   ++this->attempts;
   this->sentAt = BootNow();
   this->sentAtMillis = WallMillis();
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -105,6 +105,15 @@
   return this->relay ? this->relay->Head().status : 0;
 }
 
+const char*
+CallFlow::DigestText() const
+{
+  if (this->ResponseStatus() == 0) {
+    return "";
+  }
+  return this->relay->Head().hasDigest ? "yes" : "no";
+}
+
 bool
 CallFlow::IsStreaming() const
 {
@@ -371,6 +380,7 @@
           this->WithExchange(
             { { "how", aOutcome },
               { "status", std::to_string(this->ResponseStatus()) },
+              { "digest", this->DigestText() },
               { "endpoint", this->endpointId },
               { "attempts", std::to_string(this->attempts) },
               { "time_limit_ms", TextOf(this->call.remainingTime) },
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -186,6 +186,8 @@
   const std::string& PathDigest();
   // The status of the last attempt's response; 0 without a response.
   int ResponseStatus() const;
+  // "yes", "no", or empty without a response: whether it had a digest.
+  const char* DigestText() const;
   // The head of an event stream has been sent to the client.
   bool IsStreaming() const;
   LogFields WithCallIds(LogFields aFields) const;
@@ -226,6 +228,8 @@
 
   // ---- attempts at endpoints
   std::set<std::string> triedEndpoints;
+  // Two entries of the registry may name one address.
+  std::set<std::string> triedAddresses;
   // Endpoints that hold enough of this host's requests.
   std::set<std::string> fullEndpoints;
   restinio::asio_ns::steady_timer roomTimer;
--- a/gateway/forwarded_call.cc
+++ b/gateway/forwarded_call.cc
@@ -136,6 +136,8 @@
   LogFields fields = { { "request", this->call.requestId },
                        { "how", aOutcome },
                        { "status", std::to_string(this->relay->Head().status) },
+                       { "digest",
+                         this->relay->Head().hasDigest ? "yes" : "no" },
                        { "detail", aDetail },
                        { "took_ms", std::to_string(took) } };
   const LogFields exchange = LogFieldsOf(this->lastExchange);
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -48,6 +48,9 @@
   LogFields fields = LogFieldsOf(aOutcome.connectionUse);
   fields.emplace_back("framing", std::string(NameOf(aOutcome.body.framing)));
   fields.emplace_back("body_bytes", std::to_string(aOutcome.body.bytes));
+  if (aOutcome.body.holdsHead) {
+    fields.emplace_back("body_holds_head", "yes");
+  }
   return fields;
 }
 
@@ -155,7 +158,9 @@
     outcome.sent = exchange->timesSent > 0;
     outcome.refusedConnection = aCode == CURLE_COULDNT_CONNECT;
     outcome.connectionUse = exchange->connectionUse;
-    outcome.body = { exchange->framing, exchange->limits.BodyBytes() };
+    outcome.body = { exchange->framing,
+                     exchange->limits.BodyBytes(),
+                     HoldsAnotherHead(*exchange) };
     if (outcome.error != EventError::kNone) {
       outcome.detail = DetailOfTransfer(
         aCode, exchange->limits, exchange->framing, exchange->errorText);
--- a/http/event_client.h
+++ b/http/event_client.h
@@ -70,6 +70,9 @@
   // Name of the request's header whose value the response repeats; empty if
   // servers repeat none.
   std::string correlationHeader;
+  // Name of a header that every successful response bears; empty if there is
+  // none.
+  std::string successHeader;
   std::string body;
   Millis connectTimeout{ 1000 };
   // For the whole exchange.
@@ -125,6 +128,9 @@
 {
   BodyFraming framing = BodyFraming::kUnknown;
   size_t bytes = 0;
+  // It ended with its connection and held the head of another response, or the
+  // beginning of one.
+  bool holdsHead = false;
 };
 
 struct EventOutcome
--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -1,7 +1,6 @@
 #include "http/event_server.h"
 
 #include <algorithm>
-#include <cctype>
 #include <restinio/all.hpp>
 
 #include "http/byte_budget.h"
@@ -56,23 +55,6 @@
   return aStatus >= kFirstFinalStatus && aStatus <= kLastStatus;
 }
 
-// A character of a header's name.
-bool
-IsTokenCharacter(unsigned char aByte)
-{
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return std::isalnum(aByte) != 0 ||
-         kMarks.find(static_cast<char>(aByte)) != std::string_view::npos;
-}
-
-bool
-IsSoundHeader(const std::string& aName, const std::string& aValue)
-{
-  return !aName.empty() &&
-         std::all_of(aName.begin(), aName.end(), IsTokenCharacter) &&
-         aValue.find_first_of(std::string("\r\n\0", 3)) == std::string::npos;
-}
-
 // Headers that belong to one connection; RESTinio sets them.
 bool
 IsFramingHeader(const std::string& aName)
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -137,6 +137,20 @@
   return false;
 }
 
+// The headers that tell a response of the server from text.
+std::vector<std::string>
+MarksOf(const EventCall& aCall)
+{
+  std::vector<std::string> marks;
+  for (const std::string& name :
+       { aCall.correlationHeader, aCall.successHeader }) {
+    if (!name.empty()) {
+      marks.push_back(name);
+    }
+  }
+  return marks;
+}
+
 size_t
 OnHeaderLine(char* aData, size_t, size_t aLength, void* aExchange)
 {
@@ -175,6 +189,9 @@
   if (exchange->framing == BodyFraming::kChunks) {
     exchange->limits.BeginChunks(exchange->socket);
   }
+  if (exchange->framing == BodyFraming::kClose) {
+    exchange->unframedBody.emplace(MarksOf(exchange->call));
+  }
   exchange->headersTold = true;
   const bool accepted =
     !exchange->handlers.onHeaders ||
@@ -197,6 +214,10 @@
   if (!exchange->limits.TakeBody(aLength)) {
     return 0;
   }
+  if (exchange->unframedBody) {
+    exchange->bodyHoldsHead |=
+      !exchange->unframedBody->Take(std::string_view(aData, aLength));
+  }
   const bool accepted =
     !exchange->handlers.onData ||
     exchange->handlers.onData(std::string_view(aData, aLength));
@@ -285,6 +306,13 @@
            { "connection_age_ms", std::to_string(aUse.age.count()) } };
 }
 
+bool
+HoldsAnotherHead(const Exchange& aExchange)
+{
+  return aExchange.bodyHoldsHead ||
+         (aExchange.unframedBody && aExchange.unframedBody->EndsWithinHead());
+}
+
 EventError
 ErrorOf(CURLcode aCode, const Exchange& aExchange)
 {
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -16,9 +16,12 @@
 
 #include <curl/curl.h>
 
+#include <optional>
+
 #include "http/curl_sockets.h"
 #include "http/event_client.h"
 #include "http/response_limits.h"
+#include "http/unframed_body.h"
 
 namespace tanagerseam {
 
@@ -34,6 +37,11 @@
   HttpHeaders answerHeaders;
   BodyFraming framing = BodyFraming::kUnknown;
   ResponseLimits limits;
+  // Set while a body comes that ends with its connection, of a server whose
+  // responses can be told from text.
+  std::optional<UnframedBody> unframedBody;
+  // Such a body held the head of another response.
+  bool bodyHoldsHead = false;
   // The connection that carries the request.
   curl_socket_t socket = CURL_SOCKET_BAD;
   int timesSent = 0;
@@ -59,6 +67,10 @@
 void
 ConfigureExchange(Exchange& aExchange, int aMaxIdleSeconds);
 
+// True if the body holds the head of another response, or ends within one.
+bool
+HoldsAnotherHead(const Exchange& aExchange);
+
 // The result of a transfer that libcurl ended with aCode.
 EventError
 ErrorOf(CURLcode aCode, const Exchange& aExchange);
--- a/http/http_message.cc
+++ b/http/http_message.cc
@@ -4,10 +4,27 @@
 
 #include <strings.h>
 
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+
 #include <restinio/uri_helpers.hpp>
 
 namespace tanagerseam {
 
+namespace {
+
+// A character of a header's name.
+bool
+IsTokenCharacter(unsigned char aByte)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return std::isalnum(aByte) != 0 ||
+         kMarks.find(static_cast<char>(aByte)) != std::string_view::npos;
+}
+
+} // namespace
+
 bool
 EqualsIgnoringCase(const std::string& aLeft, const std::string& aRight)
 {
@@ -59,4 +76,12 @@
   return encoded;
 }
 
+bool
+IsSoundHeader(const std::string& aName, const std::string& aValue)
+{
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(), IsTokenCharacter) &&
+         aValue.find_first_of(std::string("\r\n\0", 3)) == std::string::npos;
+}
+
 } // namespace tanagerseam
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -23,6 +23,11 @@
 std::optional<std::string>
 FirstHeader(const HttpHeaders& aHeaders, const std::string& aName);
 
+// True if a header can be sent as it is: the name is a token and the value
+// holds no byte that ends a line or a string.
+bool
+IsSoundHeader(const std::string& aName, const std::string& aValue);
+
 // aText with all but unreserved characters percent-encoded, for a query.
 std::string
 PercentEncode(const std::string& aText);
