http: a malformed head is no response

What callers saw: MIXED, a success whose body was not the endpoint's. libcurl and the gateway read some heads differently: a blank before the colon hides the length from both, a folded line the coding from one, and the body then ends with its connection and takes in stray bytes or the framing of its chunks.

Both clients now read heads with one class, ResponseHead, which takes a line that RFC 9112 does not allow for the end of the exchange; FramingOf accepts chunks as the only coding. Trailers are no headers of the blocking client any more.

--- a/http/body_framing.cc
+++ b/http/body_framing.cc
@@ -33,17 +33,6 @@
   return parsed.ec == std::errc() && parsed.ptr == end && length >= 0;
 }
 
-// True if chunks are the last coding of the body.
-bool
-EndsWithChunks(const std::string& aCodings)
-{
-  const size_t comma = aCodings.rfind(',');
-  const size_t start = comma == std::string::npos ? 0 : comma + 1;
-  const size_t first = aCodings.find_first_not_of(" \t", start);
-  return first != std::string::npos &&
-         EqualsIgnoringCase(aCodings.substr(first), "chunked");
-}
-
 } // namespace
 
 std::string_view
@@ -65,8 +54,10 @@
   }
   const auto codings = HeaderValues(aHeaders, "Transfer-Encoding");
   if (!codings.empty()) {
-    return EndsWithChunks(codings.back()) ? BodyFraming::kChunks
-                                          : BodyFraming::kClose;
+    // Nobody asked for another coding, and none is undone here.
+    const bool onlyChunks =
+      codings.size() == 1 && EqualsIgnoringCase(codings.front(), "chunked");
+    return onlyChunks ? BodyFraming::kChunks : BodyFraming::kInvalid;
   }
   const auto lengths = HeaderValues(aHeaders, "Content-Length");
   if (lengths.empty()) {
--- a/http/body_framing.h
+++ b/http/body_framing.h
@@ -25,7 +25,7 @@
   kChunks,
   // The body ends with its connection.
   kClose,
-  // The head gives no usable length, or several.
+  // The head gives no usable length, or several, or a coding besides chunks.
   kInvalid,
 };
 
--- a/http/event_client.cc
+++ b/http/event_client.cc
@@ -154,7 +154,7 @@
     this->exchanges.erase(found);
     EventOutcome outcome;
     outcome.error = ErrorOf(aCode, *exchange);
-    outcome.status = exchange->headersTold ? exchange->status : 0;
+    outcome.status = exchange->headersTold ? exchange->head.Status() : 0;
     outcome.sent = exchange->timesSent > 0;
     outcome.refusedConnection = aCode == CURLE_COULDNT_CONNECT;
     outcome.connectionUse = exchange->connectionUse;
@@ -162,8 +162,7 @@
                      exchange->limits.BodyBytes(),
                      HoldsAnotherHead(*exchange) };
     if (outcome.error != EventError::kNone) {
-      outcome.detail = DetailOfTransfer(
-        aCode, exchange->limits, exchange->framing, exchange->errorText);
+      outcome.detail = DetailOf(aCode, *exchange);
     }
     this->Recycle(*exchange);
     if (!exchange->cancelled && exchange->handlers.onDone) {
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -6,8 +6,7 @@
 
 namespace {
 
-// Lower ones are interim.
-constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstFailureStatus = 400;
 
 // False if a kept connection has something to read or has ended. A connection
 // that was opened for the request is not looked at: a server that is full may
@@ -58,40 +57,6 @@
   return CURL_PREREQFUNC_OK;
 }
 
-bool
-IsBlank(std::string_view aLine)
-{
-  return aLine.empty() || aLine == "\r\n" || aLine == "\n";
-}
-
-void
-TakeStatusLine(Exchange& aExchange, std::string_view aLine)
-{
-  const size_t space = aLine.find(' ');
-  aExchange.answerHeaders.clear();
-  aExchange.status =
-    space == std::string_view::npos
-      ? 0
-      : std::atoi(std::string(aLine.substr(space + 1)).c_str());
-}
-
-void
-TakeHeader(Exchange& aExchange, std::string_view aLine)
-{
-  const size_t colon = aLine.find(':');
-  if (colon == std::string_view::npos) {
-    return;
-  }
-  std::string_view value = aLine.substr(colon + 1);
-  const size_t first = value.find_first_not_of(" \t");
-  const size_t last = value.find_last_not_of(" \t\r\n");
-  value = first == std::string_view::npos
-            ? std::string_view()
-            : value.substr(first, last - first + 1);
-  aExchange.answerHeaders.emplace_back(std::string(aLine.substr(0, colon)),
-                                       std::string(value));
-}
-
 // False if responses to other calls name their requests and this call's can't.
 bool
 CanBeCorrelated(const EventCall& aCall)
@@ -108,7 +73,7 @@
     return true;
   }
   // A server that refuses a connection may not have read the request.
-  const bool failure = aExchange.status >= 400;
+  const bool failure = aExchange.head.Status() >= kFirstFailureStatus;
   return failure && aExchange.connectionUse.earlierRequests == 0;
 }
 
@@ -122,7 +87,7 @@
     return true;
   }
   const auto expected = FirstHeader(aExchange.call.headers, header);
-  const auto answered = FirstHeader(aExchange.answerHeaders, header);
+  const auto answered = FirstHeader(aExchange.head.Headers(), header);
   const bool own = answered
                      ? answered == expected
                      : MayLackCorrelation(aExchange, expected.has_value());
@@ -151,6 +116,32 @@
   return marks;
 }
 
+// The head of the final response has come. False ends the transfer.
+bool
+BeginResponse(Exchange& aExchange)
+{
+  const int status = aExchange.head.Status();
+  const HttpHeaders& headers = aExchange.head.Headers();
+  aExchange.foreign = !IsOwnResponse(aExchange);
+  if (aExchange.foreign) {
+    return false;
+  }
+  aExchange.framing = FramingOf(aExchange.call.method, status, headers);
+  if (aExchange.framing == BodyFraming::kInvalid) {
+    return false;
+  }
+  if (aExchange.framing == BodyFraming::kChunks) {
+    aExchange.limits.BeginChunks(aExchange.socket);
+  }
+  if (aExchange.framing == BodyFraming::kClose) {
+    aExchange.unframedBody.emplace(MarksOf(aExchange.call));
+  }
+  aExchange.headersTold = true;
+  aExchange.rejected = aExchange.handlers.onHeaders &&
+                       !aExchange.handlers.onHeaders(status, headers);
+  return !aExchange.rejected;
+}
+
 size_t
 OnHeaderLine(char* aData, size_t, size_t aLength, void* aExchange)
 {
@@ -166,38 +157,17 @@
     // A trailer, which nobody asked for.
     return aLength;
   }
-  if (line.substr(0, 5) == "HTTP/") {
-    TakeStatusLine(*exchange, line);
-    return aLength;
-  }
-  if (!IsBlank(line)) {
-    TakeHeader(*exchange, line);
-    return aLength;
-  }
-  if (exchange->status < kFirstFinalStatus) {
-    return aLength;
-  }
-  exchange->foreign = !IsOwnResponse(*exchange);
-  if (exchange->foreign) {
-    return 0;
-  }
-  exchange->framing =
-    FramingOf(exchange->call.method, exchange->status, exchange->answerHeaders);
-  if (exchange->framing == BodyFraming::kInvalid) {
-    return 0;
-  }
-  if (exchange->framing == BodyFraming::kChunks) {
-    exchange->limits.BeginChunks(exchange->socket);
-  }
-  if (exchange->framing == BodyFraming::kClose) {
-    exchange->unframedBody.emplace(MarksOf(exchange->call));
-  }
-  exchange->headersTold = true;
-  const bool accepted =
-    !exchange->handlers.onHeaders ||
-    exchange->handlers.onHeaders(exchange->status, exchange->answerHeaders);
-  exchange->rejected = !accepted;
-  return accepted ? aLength : 0;
+  switch (exchange->head.Take(line)) {
+    case HeadLine::kMore:
+    case HeadLine::kInterimEnd:
+      return aLength;
+    case HeadLine::kMalformed:
+      exchange->malformedHead = true;
+      return 0;
+    case HeadLine::kEnd:
+      return BeginResponse(*exchange) ? aLength : 0;
+  }
+  return 0;
 }
 
 size_t
@@ -339,4 +309,14 @@
                                            : EventError::kBroken;
 }
 
+std::string
+DetailOf(CURLcode aCode, const Exchange& aExchange)
+{
+  if (aExchange.malformedHead) {
+    return "the head of the response is malformed";
+  }
+  return DetailOfTransfer(
+    aCode, aExchange.limits, aExchange.framing, aExchange.errorText);
+}
+
 } // namespace tanagerseam
--- a/http/exchange.h
+++ b/http/exchange.h
@@ -20,6 +20,7 @@
 
 #include "http/curl_sockets.h"
 #include "http/event_client.h"
+#include "http/response_head.h"
 #include "http/response_limits.h"
 #include "http/unframed_body.h"
 
@@ -33,8 +34,7 @@
   curl_slist* headers = nullptr;
   EventCall call;
   EventHandlers handlers;
-  int status = 0;
-  HttpHeaders answerHeaders;
+  ResponseHead head;
   BodyFraming framing = BodyFraming::kUnknown;
   ResponseLimits limits;
   // Set while a body comes that ends with its connection, of a server whose
@@ -58,6 +58,7 @@
   // Its handlers are not called any more.
   bool cancelled = false;
   bool foreign = false;
+  bool malformedHead = false;
   bool rejected = false;
   bool headersTold = false;
   char errorText[CURL_ERROR_SIZE] = {};
@@ -75,6 +76,10 @@
 EventError
 ErrorOf(CURLcode aCode, const Exchange& aExchange);
 
+// Why such a transfer gave no whole response, for logs.
+std::string
+DetailOf(CURLcode aCode, const Exchange& aExchange);
+
 } // namespace tanagerseam
 
 #endif // TANAGERSEAM_HTTP_EXCHANGE_H_
--- a/http/http_client.cc
+++ b/http/http_client.cc
@@ -15,6 +15,7 @@
 #include "http/body_framing.h"
 #include "http/byte_budget.h"
 #include "http/idle_connection.h"
+#include "http/response_head.h"
 #include "http/response_limits.h"
 #include "kernel/log.h"
 
@@ -23,7 +24,6 @@
 namespace {
 
 constexpr size_t kMaxIdleHandles = 256;
-constexpr long kFirstFinalStatus = 200;
 
 // One socket that libcurl opened.
 struct OpenSocket
@@ -66,7 +66,7 @@
   int timesSent = 0;
   // The request was held back from a kept connection that must not be used.
   bool heldBack = false;
-  HttpAnswer answer;
+  ResponseHead head;
   GatheredBody body;
   ResponseLimits limits;
   // The connection that carries the request.
@@ -93,12 +93,10 @@
   if (!exchange->limits.TakeBody(bytes)) {
     return 0;
   }
-  long status = 0;
-  curl_easy_getinfo(exchange->easy, CURLINFO_RESPONSE_CODE, &status);
+  const int status = exchange->head.Status();
   if (exchange->call->onHeaders && !exchange->headersTold) {
     exchange->headersTold = true;
-    const HttpHeaders& headers = exchange->answer.headers;
-    if (!exchange->call->onHeaders(int(status), headers)) {
+    if (!exchange->call->onHeaders(status, exchange->head.Headers())) {
       exchange->cancelled = true;
       return 0;
     }
@@ -115,17 +113,6 @@
   return bytes;
 }
 
-std::string
-Trimmed(const std::string& aText)
-{
-  const size_t first = aText.find_first_not_of(" \t\r\n");
-  if (first == std::string::npos) {
-    return "";
-  }
-  const size_t last = aText.find_last_not_of(" \t\r\n");
-  return aText.substr(first, last - first + 1);
-}
-
 int
 PortOf(const sockaddr_storage& aAddress)
 {
@@ -241,49 +228,41 @@
   return CURL_PREREQFUNC_ABORT;
 }
 
-// A line of a head that is neither whole nor that of the final response yet.
-void
-FollowHead(BlockingExchange& aExchange, const std::string& aLine)
+// The head of the final response has come. False ends the transfer.
+bool
+BeginResponse(BlockingExchange& aExchange)
 {
-  if (aLine.rfind("HTTP/", 0) == 0) {
-    // The head of an interim response may have come before.
-    aExchange.answer.headers.clear();
-    return;
-  }
-  if (aLine != "\r\n" && aLine != "\n") {
-    return;
-  }
-  long status = 0;
-  curl_easy_getinfo(aExchange.easy, CURLINFO_RESPONSE_CODE, &status);
-  aExchange.wholeHead = status >= kFirstFinalStatus;
-  if (!aExchange.wholeHead) {
-    return;
-  }
-  aExchange.framing =
-    FramingOf(aExchange.call->method, int(status), aExchange.answer.headers);
+  aExchange.wholeHead = true;
+  aExchange.framing = FramingOf(
+    aExchange.call->method, aExchange.head.Status(), aExchange.head.Headers());
   if (aExchange.framing == BodyFraming::kChunks) {
     aExchange.limits.BeginChunks(aExchange.socket);
   }
+  return aExchange.framing != BodyFraming::kInvalid;
 }
 
 size_t
 OnHeader(char* aData, size_t aSize, size_t aCount, void* aExchange)
 {
   auto* exchange = static_cast<BlockingExchange*>(aExchange);
-  const std::string line(aData, aSize * aCount);
+  const std::string_view line(aData, aSize * aCount);
   if (!exchange->limits.TakeHeadLine(line.size())) {
     return 0;
   }
-  if (!exchange->wholeHead) {
-    FollowHead(*exchange, line);
+  if (exchange->wholeHead) {
+    // A trailer, which nobody asked for.
+    return line.size();
   }
-  const size_t colon = line.find(':');
-  if (colon != std::string::npos) {
-    exchange->answer.headers.emplace_back(line.substr(0, colon),
-                                          Trimmed(line.substr(colon + 1)));
+  switch (exchange->head.Take(line)) {
+    case HeadLine::kMore:
+    case HeadLine::kInterimEnd:
+      return line.size();
+    case HeadLine::kMalformed:
+      return 0;
+    case HeadLine::kEnd:
+      return BeginResponse(*exchange) ? line.size() : 0;
   }
-  const bool invalid = exchange->framing == BodyFraming::kInvalid;
-  return invalid ? 0 : aSize * aCount;
+  return 0;
 }
 
 int
@@ -468,11 +447,9 @@
   const CURLcode code = RunExchange(exchange);
   HttpOutcome outcome;
   if (code == CURLE_OK && exchange.wholeHead) {
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    exchange.answer.status = int(status);
-    exchange.answer.body = exchange.body.Take();
-    outcome = std::move(exchange.answer);
+    outcome = HttpAnswer{ exchange.head.Status(),
+                          exchange.head.Headers(),
+                          exchange.body.Take() };
   } else {
     outcome = ToFailure(code, exchange);
   }
