http: a body that goes on into another response is not whole

What callers saw: MIXED, a success whose body was not the endpoint's. A body with neither a length nor chunks ends with its connection. An endpoint that responds twice before it closes made one body of two responses: the second one's head and body went to the client as the end of the first one's.

EventClient looks for a head in such a body: a status line with a header behind it that the call names (its id, or the digest of a success). It then ends the exchange as a foreign response; an idempotent call goes on to another endpoint. Ruled out: taking a status line alone for a head, since text may quote one; a second response without any of these headers, or cut within its status line, can't be told from text.

gateway_foreign_response_test ASecondResponseReachesNoClient failed in its twelve cases "close ... success" before, 8 calls each; unframed_body_test has the pieces.

--- a/http/event_client.h
+++ b/http/event_client.h
@@ -27,6 +27,10 @@
 // goes out on a connection of its own. Any other response ends the connection
 // and is not handed on.
 //
+// Invariant: a body that ends with its connection and holds the head of another
+// response, with one of the headers that the call names, ends the exchange: it
+// is two responses, of which the first may or may not be whole.
+//
 // Invariant: a response ends the exchange, and its connection, once its header
 // lines exceed 64 KiB together, its body exceeds the call's maxAnswerBytes, or
 // it consists of chunk framing for the most part.
@@ -94,7 +98,7 @@
   kBroken,
   // A kept connection was closed by the server as the request was written.
   kStaleConnection,
-  // The response belongs to another request.
+  // The response belongs to another request, or goes on into another response.
   kForeignResponse,
   // The head or the body exceeded its limit.
   kTooLarge,
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -133,8 +133,9 @@
   if (aExchange.framing == BodyFraming::kChunks) {
     aExchange.limits.BeginChunks(aExchange.socket);
   }
-  if (aExchange.framing == BodyFraming::kClose) {
-    aExchange.unframedBody.emplace(MarksOf(aExchange.call));
+  const std::vector<std::string> marks = MarksOf(aExchange.call);
+  if (aExchange.framing == BodyFraming::kClose && !marks.empty()) {
+    aExchange.unframedBody.emplace(marks);
   }
   aExchange.headersTold = true;
   aExchange.rejected = aExchange.handlers.onHeaders &&
@@ -184,13 +185,13 @@
   if (!exchange->limits.TakeBody(aLength)) {
     return 0;
   }
-  if (exchange->unframedBody) {
-    exchange->bodyHoldsHead |=
-      !exchange->unframedBody->Take(std::string_view(aData, aLength));
+  const std::string_view piece(aData, aLength);
+  if (exchange->unframedBody && !exchange->unframedBody->Take(piece)) {
+    exchange->bodyHoldsHead = true;
+    return 0;
   }
   const bool accepted =
-    !exchange->handlers.onData ||
-    exchange->handlers.onData(std::string_view(aData, aLength));
+    !exchange->handlers.onData || exchange->handlers.onData(piece);
   exchange->rejected = !accepted;
   return accepted ? aLength : 0;
 }
@@ -286,6 +287,9 @@
 EventError
 ErrorOf(CURLcode aCode, const Exchange& aExchange)
 {
+  if (HoldsAnotherHead(aExchange)) {
+    return EventError::kForeignResponse;
+  }
   if (aCode == CURLE_OK) {
     // libcurl ends a response that is closed within its head as a success.
     return aExchange.headersTold ? EventError::kNone : EventError::kBroken;
@@ -315,6 +319,9 @@
   if (aExchange.malformedHead) {
     return "the head of the response is malformed";
   }
+  if (HoldsAnotherHead(aExchange)) {
+    return "another response follows the body";
+  }
   return DetailOfTransfer(
     aCode, aExchange.limits, aExchange.framing, aExchange.errorText);
 }
