http: a success without the service's digest is no response

Nothing looked at it: a faulty endpoint, or another writer at an address, needed the request's id only, and an id is in the request. The call now names a header that each success bears (the dialect: the digest); a success without it is a foreign response: an idempotent call goes on to another endpoint, any other has an unknown outcome. Failures need no digest.

--- a/http/event_client.h
+++ b/http/event_client.h
@@ -27,6 +27,9 @@
 // goes out on a connection of its own. Any other response ends the connection
 // and is not handed on.
 //
+// Invariant: a success bears the header that the call names for it; one without
+// is not the server's and ends the connection like a response to another call.
+//
 // Invariant: a body that ends with its connection and holds the head of another
 // response, with one of the headers that the call names, ends the exchange: it
 // is two responses, of which the first may or may not be whole.
@@ -98,7 +101,8 @@
   kBroken,
   // A kept connection was closed by the server as the request was written.
   kStaleConnection,
-  // The response belongs to another request, or goes on into another response.
+  // The response belongs to another request, is no response of the server, or
+  // goes on into another response.
   kForeignResponse,
   // The head or the body exceeded its limit.
   kTooLarge,
--- a/http/exchange.cc
+++ b/http/exchange.cc
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr int kFirstRedirectStatus = 300;
 constexpr int kFirstFailureStatus = 400;
 
 // False if a kept connection has something to read or has ended. A connection
@@ -102,6 +103,28 @@
   return false;
 }
 
+// False for a success without the header that each success of the server bears.
+bool
+HasSuccessHeader(const Exchange& aExchange)
+{
+  const std::string& header = aExchange.call.successHeader;
+  const int status = aExchange.head.Status();
+  const bool success = status < kFirstRedirectStatus;
+  if (header.empty() || !success) {
+    return true;
+  }
+  const auto value = FirstHeader(aExchange.head.Headers(), header);
+  if (value && !value->empty()) {
+    return true;
+  }
+  LogFields fields = LogFieldsOf(aExchange.connectionUse);
+  fields.emplace_back("header", header);
+  fields.emplace_back("status", std::to_string(status));
+  fields.emplace_back("peer", aExchange.call.url);
+  LogWarn("success_without_its_header", fields);
+  return false;
+}
+
 // The headers that tell a response of the server from text.
 std::vector<std::string>
 MarksOf(const EventCall& aCall)
@@ -122,7 +145,7 @@
 {
   const int status = aExchange.head.Status();
   const HttpHeaders& headers = aExchange.head.Headers();
-  aExchange.foreign = !IsOwnResponse(aExchange);
+  aExchange.foreign = !IsOwnResponse(aExchange) || !HasSuccessHeader(aExchange);
   if (aExchange.foreign) {
     return false;
   }
--- a/http/testing/event_client_test.cc
+++ b/http/testing/event_client_test.cc
@@ -72,6 +72,7 @@
     call.target = "/";
     call.headers = { { kIdHeader, aId } };
     call.correlationHeader = kIdHeader;
+    call.successHeader = this->successHeader;
     call.ownConnection = aOwnConnection;
     call.timeout = kCallTimeout;
     call.maxAnswerBytes = this->maxAnswerBytes;
@@ -99,6 +100,7 @@
   restinio::asio_ns::io_context io{ 1 };
   EventClient client{ io, EventClientSettings{} };
   size_t maxAnswerBytes = EventCall{}.maxAnswerBytes;
+  std::string successHeader;
 };
 
 class ServerThatEndsEarly : public EventClientTest
@@ -196,6 +198,26 @@
             BodyFraming::kChunks);
 }
 
+// Guards against a success that is not the server's: nothing but its id was
+// compared. Failures need no such header.
+TEST_F(EventClientTest, ASuccessWithoutItsHeaderIsForeign)
+{
+  this->successHeader = "X-Digest";
+  for (const std::string header : { "", "X-Digest:\r\n", "X-Digest: d\r\n" }) {
+    for (const int status : { 200, 204, 404 }) {
+      RawEndpoint server(this->io, [&](const std::string&) {
+        return PresetResponse{ "HTTP/1.1 " + std::to_string(status) +
+                               " X\r\nX-Request-Id: a\r\n" + header +
+                               "Content-Length: 0\r\n\r\n" };
+      });
+      const bool own = status == 404 || header == "X-Digest: d\r\n";
+      EXPECT_EQ(this->Call(server, "a").outcome.error,
+                own ? EventError::kNone : EventError::kForeignResponse)
+        << status << " " << header;
+    }
+  }
+}
+
 // Guards against bytes without end in a head or a body: they were read until
 // the call's deadline, and a head was kept whole.
 TEST_F(EventClientTest, EndsAResponseWithoutEndAtTheLimit)
