gateway: a second attempt at an address has a connection of its own

An id names the call and not the attempt. Two entries of the registry may name one address, as after an endpoint that has started again under another id; a call that the first entry did not execute (421) then came to the same kept connection for the second. A late second response to the first attempt was taken for that of the second: the client was told 503 while the second attempt ran.

Ruled out: leaving the address out of further attempts, as its other entry may be the one endpoint left.

--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -140,15 +140,19 @@
                                                   *this->endpointTimeLimit);
   out.timeout = remaining + Millis(50);
   out.connectTimeout = std::min(remaining, Millis(300));
-  out.ownConnection =
-    this->isTrial || this->state.connections.NeedsOwnConnection(
-                       this->route->kind, this->service, BootNow());
-  this->triedEndpoints.insert(this->endpointId);
-  if (!this->triedAddresses.insert(endpoint->address).second) {
+  // An id names the call and not the attempt: on the connection of an attempt
+  // before, a second response to that one would be taken for this one's.
+  const bool triedAddress =
+    !this->triedAddresses.insert(endpoint->address).second;
+  if (triedAddress) {
     LogInfo("address_tried_again",
             this->WithCallIds({ { "endpoint", this->endpointId },
                                 { "address", endpoint->address } }));
   }
+  out.ownConnection = this->isTrial || triedAddress ||
+                      this->state.connections.NeedsOwnConnection(
+                        this->route->kind, this->service, BootNow());
+  this->triedEndpoints.insert(this->endpointId);
   ++this->attempts;
   this->sentAt = BootNow();
   this->sentAtMillis = WallMillis();
