program: a refused grant counts as use behind an older checkpoint

A ledger no longer keeps refused grants, so a checkpoint whose writer had not read the last request of a program made it idle again: it could be given up while its client still asked. The ledger keeps the offset of the last request, accepted or not, and compares that with the checkpoint's.

ARefusedGrantCountsAsUseBehindAnOlderCheckpoint has the case.

--- a/program/budget_ledger.cc
+++ b/program/budget_ledger.cc
@@ -4,12 +4,6 @@
 
 namespace tanagerseam {
 
-bool
-BudgetLedger::HasChangedSince(const Program& aProgram, int64_t aOffset)
-{
-  return !aProgram.changes.empty() && aProgram.changes.back().offset >= aOffset;
-}
-
 int64_t
 BudgetLedger::SumBefore(const std::string& aName,
                         const Program& aProgram,
@@ -69,6 +63,7 @@
                   : program.outstandingTokens;
   const int64_t tokens = TokensOf(aRecord, sum);
   program.outstandingTokens = sum + tokens;
+  program.usedOffset = aOffset;
   program.usedAt = aNow;
   if (aRecord.known) {
     program.statedAfter = aWrittenAfter;
@@ -102,7 +97,7 @@
     const TimePoint usedAt = aNow - stated.idle;
     if (isNew) {
       program.usedAt = usedAt;
-    } else if (!HasChangedSince(program, from)) {
+    } else if (program.usedOffset < from) {
       program.usedAt = std::min(program.usedAt, usedAt);
     }
   }
--- a/program/budget_ledger.h
+++ b/program/budget_ledger.h
@@ -57,7 +57,6 @@
   // Drops programs that were not in use within aKeepFor, and the ids and
   // changes of records that have expired.
   void Forget(Millis aKeepFor, Millis aRetention, TimePoint aNow);
-  size_t Programs() const { return this->programs.size(); }
 
 private:
   struct Change
@@ -74,7 +73,8 @@
     std::deque<Change> changes;
     // The newest record that states the sum was written after this time.
     TimePoint statedAfter{};
-    // The last grant or return was read then.
+    // Of the last grant, accepted or not, or return; and when it was read.
+    int64_t usedOffset = 0;
     TimePoint usedAt{};
   };
   struct Verdict
@@ -87,7 +87,6 @@
   int64_t SumBefore(const std::string& aName,
                     const Program& aProgram,
                     const BudgetSum& aKnown) const;
-  static bool HasChangedSince(const Program& aProgram, int64_t aOffset);
   // The tokens that the record adds to the sum; aSum is the one before it.
   static int64_t TokensOf(const BudgetRecord& aRecord, int64_t aSum);
   void ApplyCheckpoint(const BudgetRecord& aRecord,
--- a/program/testing/budget_expiry_test.cc
+++ b/program/testing/budget_expiry_test.cc
@@ -305,5 +305,25 @@
   EXPECT_EQ(this->ledger.KnownSum(kProgram).offset, 11);
 }
 
+// Guards against a program in use that is given up: a checkpoint whose writer
+// did not know of its last request called it idle.
+TEST_F(BudgetLedgerTest, ARefusedGrantCountsAsUseBehindAnOlderCheckpoint)
+{
+  constexpr Millis kKeepFor(1000);
+  const auto apply = [this](int64_t aOffset, const BudgetRecord& aRecord) {
+    return this->ledger.Apply(aOffset, aRecord, TimePoint{}, this->now);
+  };
+  EXPECT_TRUE(apply(0, Grant("granted", kBudget, BudgetSum{ 0, 0 })));
+  EXPECT_FALSE(apply(1, Grant("refused", 100, BudgetSum{ 1, kBudget })));
+  BudgetRecord checkpoint;
+  checkpoint.kind = BudgetRecordKind::kCheckpoint;
+  checkpoint.id = "checkpoint";
+  checkpoint.known = { 1, 0 };
+  checkpoint.sums = { { kProgram, kBudget, 2 * kKeepFor } };
+  apply(2, checkpoint);
+  EXPECT_EQ(
+    this->ledger.SumsToCheckpoint(this->now, kKeepFor, this->now).size(), 1u);
+}
+
 } // namespace
 } // namespace tanagerseam
