--- a/daemon/gateway_settings.cc
+++ b/daemon/gateway_settings.cc
@@ -14,7 +14,7 @@
 constexpr int64_t kMinHeldBytes = 20LL << 20;
 constexpr int64_t kMaxHeldBytes = 1LL << 40;
 constexpr int64_t kMaxDurationMillis = 600000;
-constexpr double kMaxStoreRetentionSeconds = 31536000;
+constexpr Millis kMaxStoreRetention(31536000000);
 constexpr int64_t kMaxStorePartitions = 10000;
 // Fraction of the cap.
 constexpr double kMaxOverage = 10;
@@ -52,13 +52,14 @@
 ReadSeconds(SectionReader& aReader,
             const std::string& aKey,
             Millis aDefault,
-            double aMinSeconds)
+            double aMinSeconds,
+            Millis aMax = Millis(kMaxDurationMillis))
 {
-  const double seconds = aReader.Real(
-    aKey,
-    std::chrono::duration<double>(aDefault).count(),
-    aMinSeconds,
-    std::chrono::duration<double>(Millis(kMaxDurationMillis)).count());
+  const double seconds =
+    aReader.Real(aKey,
+                 std::chrono::duration<double>(aDefault).count(),
+                 aMinSeconds,
+                 std::chrono::duration<double>(aMax).count());
   return Millis(std::llround(seconds * 1000));
 }
 
@@ -142,12 +143,11 @@
   }
   aSettings.storePartitions = static_cast<int>(aReader.Integer(
     "store_parts", aSettings.storePartitions, 1, kMaxStorePartitions));
-  const double retention = aReader.Real(
-    "store_retention_s",
-    std::chrono::duration<double>(aSettings.storeRetention).count(),
-    1,
-    kMaxStoreRetentionSeconds);
-  aSettings.storeRetention = Millis(std::llround(retention * 1000));
+  aSettings.storeRetention = ReadSeconds(aReader,
+                                         "store_retention_s",
+                                         aSettings.storeRetention,
+                                         1,
+                                         kMaxStoreRetention);
 }
 
 } // namespace
--- a/daemon/gateway_settings.h
+++ b/daemon/gateway_settings.h
@@ -10,6 +10,7 @@
 #include "dispatch/dispatch.h"
 #include "kernel/kernel.h"
 #include "quota/quota.h"
+#include "recordlog/recordlog.h"
 
 namespace tanagerseam {
 
@@ -49,7 +50,7 @@
   // Partitions of one topic of the store.
   int storePartitions = 12;
   // How long the store keeps a record of the system's own topics.
-  Millis storeRetention{ 20000 };
+  Millis storeRetention = kDefaultLogRetention;
 };
 
 // Whether records are handed to peers.
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -92,7 +92,7 @@
   // Partitions per topic of the record log.
   int logPartitions = 12;
   // How long the record log keeps a record.
-  Millis logRetention{ 20000 };
+  Millis logRetention = kDefaultLogRetention;
 };
 
 // The registry of endpoints, as the gateway uses it.
--- a/program/program.h
+++ b/program/program.h
@@ -160,9 +160,8 @@
   // A kBatch grant requests at least 1/grantDivisor of the budget.
   int64_t grantDivisor = 4;
   size_t maxHistoryCacheBytes = 24u << 20;
-  // How long the log keeps a record. The default is the shortest time that the
-  // operators' sheets name.
-  Millis logRetention{ 20000 };
+  // How long the log keeps a record.
+  Millis logRetention = kDefaultLogRetention;
 };
 
 class BudgetService
--- a/recordlog/recordlog.h
+++ b/recordlog/recordlog.h
@@ -24,6 +24,10 @@
 
 namespace tanagerseam {
 
+// How long a log keeps a record if its host is not told: the shortest time that
+// the operators' sheets name.
+constexpr Millis kDefaultLogRetention{ 20000 };
+
 struct LogPartition
 {
   std::string topic;
