--- a/gateway/call_admission.cc
+++ b/gateway/call_admission.cc
@@ -410,9 +410,7 @@
         { "ahead", std::to_string(aRefused.ahead) },
         { "expected_wait_ms", std::to_string(aRefused.expectedWait.count()) },
         { "need_ms", std::to_string(aRefused.need.count()) },
-        { "report_age_ms",
-          aRefused.reportAge ? std::to_string(aRefused.reportAge->count())
-                             : "" } }));
+        { "report_age_ms", MillisText(aRefused.reportAge) } }));
   this->RefuseWithRetryAfter(RefusalReason::kOverloaded,
                              "service utilisation " +
                                std::to_string(aRefused.utilisation),
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -14,21 +14,15 @@
 // leaves time for its response to arrive.
 constexpr Millis kResponseMargin(5);
 
-std::string
-AgeText(const std::optional<Millis>& aAge)
-{
-  return aAge ? std::to_string(aAge->count()) : "";
-}
-
 void
 AppendInputs(const PlacementInputs& aInputs, LogFields& aFields)
 {
   const LogFields inputs = {
     { "own_work_ms", std::to_string(aInputs.ownWorkMillis) },
     { "other_work_ms", std::to_string(aInputs.otherWorkMillis) },
-    { "work_age_ms", AgeText(aInputs.workAge) },
+    { "work_age_ms", MillisText(aInputs.workAge) },
     { "slowness", std::to_string(aInputs.slowness) },
-    { "pace_age_ms", AgeText(aInputs.paceAge) },
+    { "pace_age_ms", MillisText(aInputs.paceAge) },
     { "uncached_tokens", std::to_string(aInputs.uncachedTokens) },
     { "predicted_ms", std::to_string(aInputs.predictedMillis) },
     { "error_factor", std::to_string(aInputs.errorFactor) },
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -19,15 +19,14 @@
 // A call that could connect to none of so many endpoints goes to a peer.
 constexpr size_t kMaxUnreachableEndpoints = 2;
 
-// For logs; empty if unset.
+} // namespace
+
 std::string
-TextOf(const std::optional<Millis>& aTime)
+MillisText(const std::optional<Millis>& aTime)
 {
   return aTime ? std::to_string(aTime->count()) : "";
 }
 
-} // namespace
-
 CallFlow::CallFlow(GatewayState& aState,
                    ServiceCall aCall,
                    std::shared_ptr<EventReply> aReply)
@@ -302,8 +301,7 @@
             { { "reason", std::string(row.name) },
               { "detail", aDetail },
               { "target", this->route == nullptr ? this->call.target : "" },
-              { "retry_after_ms",
-                aRetryAfter ? std::to_string(aRetryAfter->count()) : "" },
+              { "retry_after_ms", MillisText(aRetryAfter) },
               { "catalog_version",
                 this->catalog ? std::to_string(this->catalog->Version()) : "" },
               { "catalog_age_ms",
@@ -383,8 +381,8 @@
               { "digest", this->DigestText() },
               { "endpoint", this->endpointId },
               { "attempts", std::to_string(this->attempts) },
-              { "time_limit_ms", TextOf(this->call.remainingTime) },
-              { "endpoint_time_limit_ms", TextOf(this->endpointTimeLimit) },
+              { "time_limit_ms", MillisText(this->call.remainingTime) },
+              { "endpoint_time_limit_ms", MillisText(this->endpointTimeLimit) },
               { "took_ms", std::to_string(took) },
               { "tokens", std::to_string(this->usedTokens) } }));
 }
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -21,6 +21,10 @@
 
 namespace tanagerseam {
 
+// aTime in milliseconds, for logs; empty if unset.
+std::string
+MillisText(const std::optional<Millis>& aTime);
+
 class CallFlow
   : public ActiveCall
   , public std::enable_shared_from_this<CallFlow>
