--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -161,7 +161,11 @@
       return;
     }
     this->unwritten += aPiece.size();
-    this->waiting += aPiece;
+    if (this->waiting.empty()) {
+      this->waiting = std::move(aPiece);
+    } else {
+      this->waiting += aPiece;
+    }
     this->WriteWaiting();
   }
 
