http: a stream whose write fails drops the piece that waits behind it

A server counted a request as under way for ever, and kept its reply: a host that shuts down waits for it until its limit. Seen as RandomPairing.EachClientGets... with Busy() 1 at its end, 3 of 8 and 3 of 12 runs on a loaded machine. Cause: a write failed as the client had left, while the next piece waited for it. Nothing wrote the piece after that or took it off the count of unwritten bytes, so a Break that came then waited for a write that was not under way, holding the reply by itself. Ruled out: an end whose callback RESTinio never calls, and a Break before the failure; neither occurs in those runs, and RESTinio's close calls back for each group that it holds. Change: a failed write drops what waits. Unwritten() is then 0 and the stream counts as drained, as before.

--- a/http/event_server.cc
+++ b/http/event_server.cc
@@ -182,6 +182,7 @@
     }
     if (!this->waiting.empty()) {
       this->chunks->append_chunk(std::move(this->waiting));
+      this->waiting.clear();
     }
     this->chunks->done(this->WhenWritten());
     this->chunks.reset();
@@ -330,6 +331,14 @@
     this->Flush(size);
   }
 
+  // A write that failed has ended the connection: these bytes are never written
+  // and don't count any longer.
+  void DropWaiting()
+  {
+    this->unwritten -= this->waiting.size();
+    this->waiting.clear();
+  }
+
   void Flush(size_t aBytes)
   {
     this->isWriting = true;
@@ -345,8 +354,10 @@
   {
     this->isWriting = false;
     this->unwritten -= aBytes;
-    // None after End.
-    if (this->chunks && !aFailed) {
+    if (aFailed) {
+      this->DropWaiting();
+    } else if (this->chunks) {
+      // None after End.
       this->WriteWaiting();
     }
     if (this->breakWhenWritten && (this->unwritten == 0 || aFailed)) {
--- a/http/testing/event_server_test.cc
+++ b/http/testing/event_server_test.cc
@@ -89,6 +89,36 @@
   EXPECT_EQ(this->server->Busy(), 0u);
 }
 
+// Guards against a broken off stream that counted as under way, and was kept,
+// for ever: its client had closed while a piece waited for the write before it.
+TEST_F(UnreadAnswer, AStreamWithAPieceThatWaitsEndsWithItsClient)
+{
+  std::shared_ptr<EventReply> reply;
+  this->Open(
+    [&reply](const EventRequest&, const std::shared_ptr<EventReply>& aReply) {
+      reply = aReply;
+      reply->Begin(200, {});
+      reply->Write(std::string(kLargeBody, 'x'));
+    });
+  ASSERT_NE(reply, nullptr);
+  EXPECT_GT(reply->Unwritten(), 0u);
+  reply->Write("waits");
+  bool drained = false;
+  reply->OnDrained([&drained] { drained = true; });
+  net::error_code ignored;
+  this->client.close(ignored);
+  this->RunFor(Millis(300));
+  EXPECT_EQ(reply->Unwritten(), 0u);
+  EXPECT_TRUE(drained);
+  EXPECT_EQ(this->server->Busy(), 1u);
+  reply->Break();
+  EXPECT_EQ(this->server->Busy(), 0u);
+  const std::weak_ptr<EventReply> kept = reply;
+  reply.reset();
+  this->RunFor(Millis(10));
+  EXPECT_TRUE(kept.expired());
+}
+
 // A program that can't listen has to say so and end.
 TEST(TakenPort, IsThrownOutOfTheLoopWithItsAddress)
 {
