soak: endpoints fail, leave out their digest, and end late or not at all

Change: six response faults in two groups. endpoint_digests: no_digest, failure (500 with its digest, sound), failure_late_duplicate and failure_idle_duplicate (the failure, and again late). endpoint_open_ends: no_length_doubled (in one or two writes, the second response with or without its id) and head_cut_pause. The judge is told the failure, not the success in whose place it came.

--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -56,6 +56,8 @@
   { SoakFault::kEndpointErrors, "endpoint_errors" },
   { SoakFault::kEndpointLateDuplicates, "endpoint_late_duplicates" },
   { SoakFault::kEndpointFraming, "endpoint_framing" },
+  { SoakFault::kEndpointDigests, "endpoint_digests" },
+  { SoakFault::kEndpointOpenEnds, "endpoint_open_ends" },
   { SoakFault::kEndpointRateLimit, "endpoint_rate_limit" },
   { SoakFault::kDrainEndpoint, "drain_endpoint" },
   { SoakFault::kChangeConfiguration, "change_configuration" },
@@ -84,6 +86,12 @@
   { ResponseFault::kNoLengthReset, SoakFault::kEndpointFraming, true },
   { ResponseFault::kNoLengthCut, SoakFault::kEndpointFraming, true },
   { ResponseFault::kEndless, SoakFault::kEndpointFraming },
+  { ResponseFault::kNoDigest, SoakFault::kEndpointDigests },
+  { ResponseFault::kFailure, SoakFault::kEndpointDigests },
+  { ResponseFault::kFailureLateDuplicate, SoakFault::kEndpointDigests },
+  { ResponseFault::kFailureIdleDuplicate, SoakFault::kEndpointDigests },
+  { ResponseFault::kNoLengthDoubled, SoakFault::kEndpointOpenEnds },
+  { ResponseFault::kHeadCutPause, SoakFault::kEndpointOpenEnds },
 };
 
 asio::ip::tcp::endpoint
@@ -343,6 +351,23 @@
   return aResponse;
 }
 
+std::optional<ResponseCorruption>
+SoakFleet::DrawResponseFault(const std::string& aId, bool aLinked)
+{
+  const std::vector<ResponseFault> faults = this->PossibleFaults(aLinked);
+  if (faults.empty() || !this->Chance(kCorruptedFraction)) {
+    return std::nullopt;
+  }
+  const ResponseCorruption corruption =
+    DrawCorruption(faults, this->randomEngine);
+  ++this->corruptions[corruption.Name()];
+  if (this->settings.verbose) {
+    std::cout << WallMillis() << " response to " << aId << ": "
+              << corruption.Name() << std::endl;
+  }
+  return corruption;
+}
+
 std::string
 SoakFleet::NewDigest(const std::string& aEndpoint)
 {
@@ -371,19 +396,14 @@
   this->checker.OnCallExecuted(executed);
   const EndpointResponse response =
     MakeResponse(aRequest, this->NewDigest(aEndpoint), this->randomEngine);
-  this->checker.OnResponseProduced(response.Produced());
-  const std::vector<ResponseFault> faults = this->PossibleFaults(aLinked);
-  if (faults.empty() || !this->Chance(kCorruptedFraction)) {
+  const auto corruption = this->DrawResponseFault(id, aLinked);
+  if (!corruption) {
+    this->checker.OnResponseProduced(response.Produced());
     return this->NameRate(aEndpoint, ToPreset(response));
   }
-  const ResponseCorruption corruption =
-    DrawCorruption(faults, this->randomEngine);
-  ++this->corruptions[corruption.Name()];
-  if (this->settings.verbose) {
-    std::cout << WallMillis() << " response to " << id << ": "
-              << corruption.Name() << std::endl;
-  }
-  return Corrupt(response, corruption, this->randomEngine);
+  const EndpointResponse intended = Intended(response, corruption->fault);
+  this->checker.OnResponseProduced(intended.Produced());
+  return Corrupt(intended, *corruption, this->randomEngine);
 }
 
 void
@@ -482,6 +502,8 @@
     case SoakFault::kEndpointErrors:
     case SoakFault::kEndpointLateDuplicates:
     case SoakFault::kEndpointFraming:
+    case SoakFault::kEndpointDigests:
+    case SoakFault::kEndpointOpenEnds:
       this->responseFaultsEndAt[aFault] = aNow + duration;
       break;
     case SoakFault::kEndpointRateLimit: {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -48,6 +48,10 @@
   kEndpointLateDuplicates,
   // Responses whose head or body has no proper end.
   kEndpointFraming,
+  // Failures of endpoints, and successes without a digest.
+  kEndpointDigests,
+  // Bodies that go on into a second response, heads that stop before the close.
+  kEndpointOpenEnds,
   // An endpoint names the rate of calls that it takes from all gateways.
   kEndpointRateLimit,
   kDrainEndpoint,
@@ -161,6 +165,10 @@
   // The digest of the next response of an endpoint.
   std::string NewDigest(const std::string& aEndpoint);
   Endpoint* FindEndpoint(const std::string& aId);
+  // The fault of the next response to a call; none for most. Counted, and
+  // printed if the settings say so.
+  std::optional<ResponseCorruption> DrawResponseFault(const std::string& aId,
+                                                      bool aLinked);
   // The faults that a response may have now.
   std::vector<ResponseFault> PossibleFaults(bool aLinked) const;
   void StepHost(Host& aHost, TimePoint aNow);
--- a/tests/soak/soak_response.cc
+++ b/tests/soak/soak_response.cc
@@ -18,7 +18,10 @@
 constexpr Millis kMinIdleDelay(1);
 constexpr Millis kMaxIdleDelay(30);
 constexpr size_t kEndlessPieceBytes = 8192;
-// Fractions of the duplicates.
+constexpr Millis kMinHeadPause(5);
+constexpr Millis kMaxHeadPause(400);
+constexpr int kFailedStatus = 500;
+// Fractions of the second responses.
 constexpr double kSplitFraction = 0.3;
 constexpr double kWithoutIdFraction = 0.2;
 
@@ -41,8 +44,39 @@
   { ResponseFault::kNoLengthReset, "no_length_reset" },
   { ResponseFault::kNoLengthCut, "no_length_cut" },
   { ResponseFault::kEndless, "endless" },
+  { ResponseFault::kNoDigest, "no_digest" },
+  { ResponseFault::kFailure, "failure" },
+  { ResponseFault::kFailureLateDuplicate, "failure_late_duplicate" },
+  { ResponseFault::kFailureIdleDuplicate, "failure_idle_duplicate" },
+  { ResponseFault::kNoLengthDoubled, "no_length_doubled" },
+  { ResponseFault::kHeadCutPause, "head_cut_pause" },
 };
 
+bool
+IsFailure(ResponseFault aFault)
+{
+  return aFault == ResponseFault::kFailure ||
+         aFault == ResponseFault::kFailureLateDuplicate ||
+         aFault == ResponseFault::kFailureIdleDuplicate;
+}
+
+bool
+HasSecondResponse(ResponseFault aFault)
+{
+  return aFault == ResponseFault::kLateDuplicate ||
+         aFault == ResponseFault::kIdleDuplicate ||
+         aFault == ResponseFault::kFailureLateDuplicate ||
+         aFault == ResponseFault::kFailureIdleDuplicate ||
+         aFault == ResponseFault::kNoLengthDoubled;
+}
+
+bool
+IsSentWhileIdle(ResponseFault aFault)
+{
+  return aFault == ResponseFault::kIdleDuplicate ||
+         aFault == ResponseFault::kFailureIdleDuplicate;
+}
+
 template<typename T>
 T
 Draw(T aMin, T aMax, std::mt19937_64& aRandom)
@@ -111,7 +145,7 @@
   const std::string id = aCorruption.withoutId ? "" : aResponse.id;
   preset.late.bytes = WholeBytes(aResponse, id);
   preset.late.split = aCorruption.split;
-  if (aCorruption.fault == ResponseFault::kIdleDuplicate) {
+  if (IsSentWhileIdle(aCorruption.fault)) {
     preset.late.time = LateTime::kIdle;
     preset.late.delay = DrawMillis(kMinIdleDelay, kMaxIdleDelay, aRandom);
   }
@@ -147,6 +181,24 @@
   return preset;
 }
 
+// The first response is whole, and so is each write: a fault of a link between
+// them leaves the response as it should be.
+PresetResponse
+WithSecondInBody(const EndpointResponse& aResponse,
+                 const ResponseCorruption& aCorruption)
+{
+  const std::string second =
+    WholeBytes(aResponse, aCorruption.withoutId ? "" : aResponse.id);
+  PresetResponse preset = WithoutLength(aResponse, false);
+  if (aCorruption.split) {
+    preset.delay = aResponse.delay;
+    preset.delayedBytes = second;
+  } else {
+    preset.bytes += second;
+  }
+  return preset;
+}
+
 // Cut at a byte where an event is open, or before the first event.
 PresetResponse
 WithStreamCut(const EndpointResponse& aResponse, std::mt19937_64& aRandom)
@@ -194,6 +246,21 @@
          (this->withoutId ? "_without_id" : "");
 }
 
+EndpointResponse
+Intended(const EndpointResponse& aResponse, ResponseFault aFault)
+{
+  if (!IsFailure(aFault)) {
+    return aResponse;
+  }
+  EndpointResponse failure;
+  failure.id = aResponse.id;
+  failure.digest = aResponse.digest;
+  failure.status = kFailedStatus;
+  failure.secondPart = "failed " + aResponse.id;
+  failure.delay = aResponse.delay;
+  return failure;
+}
+
 EndpointResponse
 MakeResponse(const std::string& aRequest,
              const std::string& aDigest,
@@ -220,8 +287,7 @@
 {
   ResponseCorruption corruption;
   corruption.fault = aFaults[Draw<size_t>(0, aFaults.size() - 1, aRandom)];
-  if (corruption.fault == ResponseFault::kLateDuplicate ||
-      corruption.fault == ResponseFault::kIdleDuplicate) {
+  if (HasSecondResponse(corruption.fault)) {
     corruption.split = std::bernoulli_distribution(kSplitFraction)(aRandom);
     corruption.withoutId =
       std::bernoulli_distribution(kWithoutIdFraction)(aRandom);
@@ -271,6 +337,8 @@
                "Content-Length: 5\r\n\r\nother" };
     case ResponseFault::kLateDuplicate:
     case ResponseFault::kIdleDuplicate:
+    case ResponseFault::kFailureLateDuplicate:
+    case ResponseFault::kFailureIdleDuplicate:
       return WithLateDuplicate(aResponse, aCorruption, aRandom);
     case ResponseFault::kHeadCut:
       return WithHeadCut(aResponse, aRandom);
@@ -283,6 +351,19 @@
                                 : WithoutLength(aResponse, true);
     case ResponseFault::kEndless:
       return WithoutEnd(aResponse);
+    case ResponseFault::kNoDigest: {
+      EndpointResponse unsealed = aResponse;
+      unsealed.digest.clear();
+      return ToPreset(unsealed);
+    }
+    case ResponseFault::kFailure:
+      return preset;
+    case ResponseFault::kNoLengthDoubled:
+      return WithSecondInBody(aResponse, aCorruption);
+    case ResponseFault::kHeadCutPause:
+      preset = WithHeadCut(aResponse, aRandom);
+      preset.delay = DrawMillis(kMinHeadPause, kMaxHeadPause, aRandom);
+      return preset;
   }
   return preset;
 }
--- a/tests/soak/soak_response.h
+++ b/tests/soak/soak_response.h
@@ -5,6 +5,7 @@
 //   EndpointResponse response = MakeResponse(request, "tools-1.7", random);
 //   checker.OnResponseProduced(response.Produced());
 //   return ToPreset(response);                             // as it should be
+//   response = Intended(response, ResponseFault::kLost);
 //   return Corrupt(response, { ResponseFault::kLost }, random);
 #ifndef TANAGERSEAM_TESTS_SOAK_SOAK_RESPONSE_H_
 #define TANAGERSEAM_TESTS_SOAK_SOAK_RESPONSE_H_
@@ -46,6 +47,19 @@
   kNoLengthCut,
   // A body without a length and without an end; of a stream, an event.
   kEndless,
+  // A success without its digest.
+  kNoDigest,
+  // A failure of the endpoint. Not wrong.
+  kFailure,
+  // The same, and again where the next response on the connection is expected.
+  kFailureLateDuplicate,
+  // The same, and again while the connection is idle.
+  kFailureIdleDuplicate,
+  // A body without a length that goes on into a second response before the
+  // close.
+  kNoLengthDoubled,
+  // Closed in the middle of the head, after a pause.
+  kHeadCutPause,
 };
 
 std::string_view
@@ -74,7 +88,7 @@
 struct ResponseCorruption
 {
   ResponseFault fault = ResponseFault::kLost;
-  // Of duplicates: sent in two writes, without an id.
+  // Of second responses: sent in two writes, without an id.
   bool split = false;
   bool withoutId = false;
 
@@ -91,6 +105,11 @@
 DrawCorruption(const std::vector<ResponseFault>& aFaults,
                std::mt19937_64& aRandom);
 
+// The response that an endpoint means to give under this fault: aResponse, or a
+// failure in its place. This is what Corrupt takes.
+EndpointResponse
+Intended(const EndpointResponse& aResponse, ResponseFault aFault);
+
 testing_support::PresetResponse
 ToPreset(const EndpointResponse& aResponse);
 
--- a/tests/soak/soak_response_test.cc
+++ b/tests/soak/soak_response_test.cc
@@ -2,6 +2,8 @@
 // late bytes where the next response is expected.
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "tests/soak/soak_response.h"
 #include "tests/soak/soak_text.h"
 
@@ -22,6 +24,7 @@
 class SoakResponseTest : public ::testing::Test
 {
 protected:
+  // The bytes of a response under a fault.
   PresetResponse Corrupted(const char* aRequest,
                            ResponseFault aFault,
                            bool aWithoutId = false)
@@ -29,8 +32,9 @@
     ResponseCorruption corruption;
     corruption.fault = aFault;
     corruption.withoutId = aWithoutId;
-    return Corrupt(
-      MakeResponse(aRequest, kDigest, this->random), corruption, this->random);
+    const EndpointResponse response =
+      MakeResponse(aRequest, kDigest, this->random);
+    return Corrupt(Intended(response, aFault), corruption, this->random);
   }
 
   std::mt19937_64 random{ 1 };
@@ -113,6 +117,122 @@
   EXPECT_FALSE(preset.close);
 }
 
+TEST_F(SoakResponseTest, SuccessWithoutADigestIsElseWhole)
+{
+  for (const char* request : { kRequest, kStreamRequest }) {
+    const PresetResponse preset =
+      this->Corrupted(request, ResponseFault::kNoDigest);
+    const std::string bytes = preset.bytes + preset.delayedBytes;
+    EXPECT_TRUE(testing_support::IsCompleteResponse(bytes));
+    EXPECT_EQ(testing_support::StatusOf(bytes), 200);
+    EXPECT_EQ(bytes.find("Seal"), std::string::npos);
+    EXPECT_FALSE(preset.close || preset.reset);
+  }
+}
+
+TEST_F(SoakResponseTest, FailureBearsItsDigestAndComesAgainLate)
+{
+  {
+    SCOPED_TRACE("what the judge is told");
+    const EndpointResponse success =
+      MakeResponse(kStreamRequest, kDigest, this->random);
+    EXPECT_EQ(Intended(success, ResponseFault::kLost).status, 200);
+    const ProducedResponse told =
+      Intended(success, ResponseFault::kFailure).Produced();
+    EXPECT_EQ(told.status, 500);
+    EXPECT_EQ(told.digest, kDigest);
+    EXPECT_EQ(told.body, "failed t-1");
+  }
+  const auto fail = [this](ResponseFault aFault, bool aWithoutId) {
+    return this->Corrupted(kStreamRequest, aFault, aWithoutId);
+  };
+  {
+    SCOPED_TRACE("once");
+    const PresetResponse once = fail(ResponseFault::kFailure, false);
+    const std::string bytes = once.bytes + once.delayedBytes;
+    EXPECT_EQ(testing_support::StatusOf(bytes), 500);
+    EXPECT_EQ(HeaderOf(bytes, "X-Server-Seal"), kDigest);
+    EXPECT_EQ(BodyOf(bytes), "failed t-1");
+    EXPECT_TRUE(testing_support::IsCompleteResponse(bytes));
+    EXPECT_EQ(once.late.bytes, "");
+  }
+  {
+    SCOPED_TRACE("again");
+    const PresetResponse late =
+      fail(ResponseFault::kFailureLateDuplicate, false);
+    EXPECT_EQ(late.late.bytes, late.bytes + late.delayedBytes);
+    EXPECT_EQ(late.late.time, LateTime::kNextRequest);
+    const PresetResponse idle =
+      fail(ResponseFault::kFailureIdleDuplicate, true);
+    EXPECT_EQ(idle.late.time, LateTime::kIdle);
+    EXPECT_EQ(testing_support::StatusOf(idle.late.bytes), 500);
+    EXPECT_EQ(HeaderOf(idle.late.bytes, "X-Request-Id"), "");
+  }
+}
+
+TEST_F(SoakResponseTest, BodyWithoutLengthGoesOnIntoASecondResponse)
+{
+  ResponseCorruption corruption{ ResponseFault::kNoLengthDoubled };
+  for (const char* request : { kRequest, kStreamRequest }) {
+    const EndpointResponse response =
+      MakeResponse(request, kDigest, this->random);
+    const PresetResponse sound = ToPreset(response);
+    const std::string second = sound.bytes + sound.delayedBytes;
+    corruption.split = false;
+    const PresetResponse joined = Corrupt(response, corruption, this->random);
+    EXPECT_EQ(BodyOf(joined.bytes), response.Text() + second);
+    EXPECT_EQ(HeaderOf(joined.bytes, "Content-Length"), "");
+    EXPECT_EQ(HeaderOf(joined.bytes, "Transfer-Encoding"), "");
+    EXPECT_TRUE(joined.close && !joined.reset);
+    corruption.split = true;
+    const PresetResponse split = Corrupt(response, corruption, this->random);
+    EXPECT_EQ(BodyOf(split.bytes), response.Text());
+    EXPECT_EQ(split.delayedBytes, second);
+    EXPECT_GT(split.delay, Millis(0));
+    EXPECT_TRUE(split.close && !split.reset);
+  }
+}
+
+TEST_F(SoakResponseTest, CutHeadWithAPauseSendsNothingMoreBeforeTheClose)
+{
+  for (int i = 0; i < 1000; ++i) {
+    const PresetResponse preset =
+      this->Corrupted(kRequest, ResponseFault::kHeadCutPause);
+    ASSERT_FALSE(preset.bytes.empty());
+    ASSERT_EQ(preset.bytes.find("\r\n\r\n"), std::string::npos);
+    ASSERT_EQ(preset.delayedBytes, "");
+    ASSERT_GT(preset.delay, Millis(0));
+    ASSERT_TRUE(preset.close && !preset.reset);
+  }
+}
+
+// Guards against a fault that no seed can draw, or whose name is missing.
+TEST_F(SoakResponseTest, DrawsEachNewFaultAndSecondResponsesInAllForms)
+{
+  const std::vector<ResponseFault> faults = {
+    ResponseFault::kNoDigest,
+    ResponseFault::kFailure,
+    ResponseFault::kFailureLateDuplicate,
+    ResponseFault::kFailureIdleDuplicate,
+    ResponseFault::kNoLengthDoubled,
+    ResponseFault::kHeadCutPause,
+  };
+  std::set<std::string> names;
+  for (int i = 0; i < 1000; ++i) {
+    names.insert(DrawCorruption(faults, this->random).Name());
+  }
+  EXPECT_EQ(names.count("unknown"), 0U);
+  EXPECT_EQ(names.count("failure"), 1U);
+  EXPECT_EQ(names.count("no_digest_split"), 0U);
+  for (const char* name : { "failure_late_duplicate",
+                            "failure_idle_duplicate",
+                            "no_length_doubled" }) {
+    EXPECT_EQ(names.count(name), 1U);
+    EXPECT_EQ(names.count(std::string(name) + "_split"), 1U);
+    EXPECT_EQ(names.count(std::string(name) + "_without_id"), 1U);
+  }
+}
+
 class LateBytesTest : public ::testing::Test
 {
 protected:
