--- a/tests/soak/soak_response.h
+++ b/tests/soak/soak_response.h
@@ -2,9 +2,10 @@
 //
 // Usage:
 //
-//   EndpointResponse response = MakeResponse(request, random);
-//   checker.OnResponseProduced(response.id, response.Text());
+//   EndpointResponse response = MakeResponse(request, "tools-1.7", random);
+//   checker.OnResponseProduced(response.Produced());
 //   return ToPreset(response);                             // as it should be
+//   response = Intended(response, ResponseFault::kLost);
 //   return Corrupt(response, { ResponseFault::kLost }, random);
 #ifndef TANAGERSEAM_TESTS_SOAK_SOAK_RESPONSE_H_
 #define TANAGERSEAM_TESTS_SOAK_SOAK_RESPONSE_H_
@@ -15,6 +16,7 @@
 #include <vector>
 
 #include "gateway/testing/raw_peer.h"
+#include "tests/soak/soak_judge.h"
 
 namespace tanagerseam::soak {
 
@@ -45,15 +47,30 @@
   kNoLengthCut,
   // A body without a length and without an end; of a stream, an event.
   kEndless,
+  // A success without its digest.
+  kNoDigest,
+  // A failure of the endpoint. Not wrong.
+  kFailure,
+  // The same, and again where the next response on the connection is expected.
+  kFailureLateDuplicate,
+  // The same, and again while the connection is idle.
+  kFailureIdleDuplicate,
+  // A body without a length that goes on into a second response before the
+  // close.
+  kNoLengthDoubled,
+  // Closed in the middle of the head, after a pause.
+  kHeadCutPause,
 };
 
 std::string_view
 NameOf(ResponseFault aFault);
 
-// A successful response, before its bytes are laid out.
+// A response, before its bytes are laid out.
 struct EndpointResponse
 {
   std::string id;
+  std::string digest;
+  int status = 200;
   bool isStream = false;
   // The body in two parts, the second of them sent after the delay.
   std::string firstPart;
@@ -61,26 +78,38 @@
   Millis delay{ 0 };
 
   std::string Text() const { return this->firstPart + this->secondPart; }
+  ProducedResponse Produced() const
+  {
+    return { this->id, this->digest, this->status, this->Text() };
+  }
 };
 
 // A drawn fault.
 struct ResponseCorruption
 {
   ResponseFault fault = ResponseFault::kLost;
-  // Of duplicates: sent in two writes, without an id.
+  // Of second responses: sent in two writes, without an id.
   bool split = false;
   bool withoutId = false;
 
   std::string Name() const;
 };
 
+// A successful response to aRequest.
 EndpointResponse
-MakeResponse(const std::string& aRequest, std::mt19937_64& aRandom);
+MakeResponse(const std::string& aRequest,
+             const std::string& aDigest,
+             std::mt19937_64& aRandom);
 
 ResponseCorruption
 DrawCorruption(const std::vector<ResponseFault>& aFaults,
                std::mt19937_64& aRandom);
 
+// The response that an endpoint means to give under this fault: aResponse, or a
+// failure in its place. This is what Corrupt takes.
+EndpointResponse
+Intended(const EndpointResponse& aResponse, ResponseFault aFault);
+
 testing_support::PresetResponse
 ToPreset(const EndpointResponse& aResponse);
 
