--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -6,10 +6,10 @@
 //   SoakChecker checker(settings);
 //   checker.OnCallSent(call);             // by a client, before it sends
 //   checker.OnCallExecuted(executed);                     // by an endpoint
-//   checker.OnResponseProduced({ "a-1", digest, 200, text });  // by an
-//   endpoint checker.OnBytesReceived("a-1", bytes);                // by a
-//   client checker.OnResponseReceived(received);                 // by a client
-//   for (const std::string& violation : checker.Violations()) { ... }
+//   checker.OnResponseProduced({ "a-1", digest, 200, text });   // by an
+//   endpoint checker.OnBytesReceived("a-1", bytes);                      // by
+//   a client checker.OnResponseReceived(received);                       // by
+//   a client for (const std::string& violation : checker.Violations()) { ... }
 //
 // Invariants, by the name that starts a violation's text:
 // - duplicate_execution: a call that is not idempotent is executed at most
