gateway_foreign_response_test: second responses also reach a host by a peer

Cause: the test called the host that calls the endpoint. A forwarded call has a reader of its own (ForwardedCall), which no test on real processes met with an endpoint that responds twice.

Change: a second host reads a store without a configuration, so that it passes each call on; the stores hold each host's entry for the other. The calls with second responses are the same as before (72 cases, three paths). A success is now demanded on each path, not one in all. GatewayHost shows its exchange port and MemberJson builds its entry.

Ruled out: that the second host serves calls itself. It has no endpoint, and its log has a line "forwarded" (not_ready) with the calls looked at.

--- a/tests/integration/gateway_foreign_response_test.cc
+++ b/tests/integration/gateway_foreign_response_test.cc
@@ -12,6 +12,7 @@
 
 // Calls of each kind to one endpoint; a second response meets the next ones.
 constexpr int kCalls = 4;
+constexpr const char* kPaths[] = { "/look/1", "/charge/1", "/ask/1" };
 constexpr Millis kIdleTime(20);
 
 // What an endpoint sent as its response to one attempt.
@@ -232,20 +233,20 @@
              : "";
   }
 
-  // Sends calls of each kind, one after another on one connection, and checks
+  // Sends calls of each kind to the last host, one after another, and checks
   // what comes back.
   void CallAndCheck()
   {
-    for (const char* path : { "/look/1", "/charge/1", "/ask/1" }) {
+    for (const char* path : kPaths) {
       SCOPED_TRACE(path);
       for (int i = 0; i < kCalls; ++i) {
         const std::string id = "r-" + std::to_string(this->nextId++);
         const std::string response =
-          this->Ask(this->hosts[0]->callPort, this->Request(path, id));
+          this->Ask(this->hosts.back()->callPort, this->Request(path, id));
         if (!response.empty()) {
           EXPECT_EQ(this->FaultOf(id, response), "") << response;
         }
-        this->successes += StatusOf(response) == 200 ? 1 : 0;
+        this->successes[path] += StatusOf(response) == 200 ? 1 : 0;
         if (this->time == SecondTime::kIdle) {
           this->RunFor(kIdleTime);
         }
@@ -253,6 +254,29 @@
     }
   }
 
+  // Calls with second responses of each framing, kind, time and status.
+  void CallWithSecondResponses()
+  {
+    for (const auto& framingRow : kFramings) {
+      for (const auto& secondRow : kSeconds) {
+        for (const auto& timeRow : kTimes) {
+          for (const auto& statusRow : kStatuses) {
+            SCOPED_TRACE(std::string(framingRow.name) + ", " + secondRow.name +
+                         ", " + timeRow.name + ", " + statusRow.name);
+            this->framing = framingRow.value;
+            this->second = secondRow.value;
+            this->time = timeRow.value;
+            this->status = statusRow.value;
+            this->CallAndCheck();
+          }
+        }
+      }
+    }
+    for (const char* path : kPaths) {
+      EXPECT_GT(this->successes[path], 0) << path;
+    }
+  }
+
   // The bytes of a response with this id, digest and body, if they are not the
   // usual ones.
   std::function<std::string(const std::string& aId,
@@ -266,31 +290,44 @@
   // The endpoint closes behind each response.
   bool closes = false;
   int attempts = 0;
-  int successes = 0;
+  // By path.
+  std::map<std::string, int> successes;
   // By request.
   std::map<std::string, std::vector<GivenResponse>> given;
 };
 
+// The clients call a second host, which reads a store without a configuration
+// and so passes all calls on to the first one.
+class GatewayForeignResponseOfPeer : public GatewayForeignResponse
+{
+protected:
+  void SetUp() override
+  {
+    GatewayForeignResponse::SetUp();
+    auto host = std::make_unique<GatewayHost>(GatewayHostSettings{
+      this->folder, "host-forwards", this->emptyStore.Address() });
+    this->store.PutKeyed("keyed.members", "host-forwards", MemberJson(*host));
+    this->emptyStore.PutKeyed(
+      "keyed.members", "host-0", MemberJson(*this->hosts[0]));
+    host->Start();
+    this->hosts.push_back(std::move(host));
+    ASSERT_TRUE(this->Until([this] { return this->Look(1) == 200; }));
+  }
+
+  StoreStandin emptyStore{ this->io };
+};
+
 // Guards against endpoints that respond twice, the second time late: a client
 // got the response to another request, or two responses as one body.
 TEST_F(GatewayForeignResponse, ASecondResponseReachesNoClient)
 {
-  for (const auto& framingRow : kFramings) {
-    for (const auto& secondRow : kSeconds) {
-      for (const auto& timeRow : kTimes) {
-        for (const auto& statusRow : kStatuses) {
-          SCOPED_TRACE(std::string(framingRow.name) + ", " + secondRow.name +
-                       ", " + timeRow.name + ", " + statusRow.name);
-          this->framing = framingRow.value;
-          this->second = secondRow.value;
-          this->time = timeRow.value;
-          this->status = statusRow.value;
-          this->CallAndCheck();
-        }
-      }
-    }
-  }
-  EXPECT_GT(this->successes, 0);
+  this->CallWithSecondResponses();
+}
+
+// Guards against the same where the host passes the call on to a peer.
+TEST_F(GatewayForeignResponseOfPeer, ASecondResponseReachesNoClient)
+{
+  this->CallWithSecondResponses();
 }
 
 // Guards against a success that bears no digest of its endpoint, which the
--- a/tests/support/gateway_host.h
+++ b/tests/support/gateway_host.h
@@ -56,6 +56,7 @@
 
   const uint16_t callPort = FreePort();
   const uint16_t readyPort = FreePort();
+  const uint16_t exchangePort = FreePort();
   std::unique_ptr<ChildProcess> process;
 
 private:
@@ -84,7 +85,6 @@
   GatewayHostSettings settings;
   std::string iniPath;
   const uint16_t metricsPort = FreePort();
-  const uint16_t exchangePort = FreePort();
   bool startedBefore = false;
 };
 
@@ -160,6 +160,17 @@
   return entry.dump();
 }
 
+// A host's entry in the users' store, as the host announces itself.
+inline std::string
+MemberJson(const GatewayHost& aHost)
+{
+  const nlohmann::json entry = { { "address",
+                                   LoopbackAddress(aHost.exchangePort) },
+                                 { "zone", "zone-a" },
+                                 { "started", 1 } };
+  return entry.dump();
+}
+
 } // namespace tanagerseam::testing_support
 
 #endif // TANAGERSEAM_TESTS_SUPPORT_GATEWAY_HOST_H_
