Tests: a gateway process against responses that are cut at each byte

Whether the gateway does this was covered for libcurl's wrappers only, by close.

The test cuts the response of an endpoint at each byte of head and body, for idempotent calls, calls that can't be repeated and turns; by length, by chunks and without either; ended by close (framing header last and first), by reset, by a close 20 ms later and by silence (each 16th byte and the edges of head and body); on new and on kept connections. A client may get a success only for a whole response, a failure of the gateway bears no digest of the endpoint, a call that can't be repeated reaches the endpoint once and never on a kept connection, and the turn that follows a cut one is refused and not sent on.

Left out: a close in order within a body without length or chunks, which nothing tells from its end (event streams are checked there, too). Allowed either way: a close in order within the last line end behind the zero-sized chunk. The gateway takes a response that lacks just the last line feed for whole; RFC 9112, section 8, counts it as complete since the zero-sized chunk has come, and the client gets the whole body.

The raw endpoint counts requests on kept connections, so that the test can say that they were met.

--- a/gateway/testing/raw_peer.h
+++ b/gateway/testing/raw_peer.h
@@ -180,6 +180,8 @@
   // Connections that the other side closed while a response was delayed.
   int abortedByPeer = 0;
   int acceptedConnections = 0;
+  // Requests on connections that had carried another one.
+  int requestsOnKeptConnections = 0;
   // Bytes of endless responses that were handed to the kernel.
   size_t endlessBytes = 0;
   // Endless responses that the peer has not ended yet.
@@ -260,6 +262,7 @@
     const std::string request = aConnection->input.substr(0, completeLength);
     aConnection->input.erase(0, completeLength);
     this->requests.push_back(request);
+    this->requestsOnKeptConnections += aConnection->requestCount > 0 ? 1 : 0;
     ++aConnection->requestCount;
     aConnection->lateTimer.cancel();
     const PresetResponse response = this->script(request);
