--- a/tests/soak/soak_client.cc
+++ b/tests/soak/soak_client.cc
@@ -259,6 +259,7 @@
   received.complete = aComplete;
   received.digest =
     IsHeadComplete(aResponse) ? HeaderOf(aResponse, "X-Server-Seal") : "";
+  received.bytes = aResponse;
   received.body = chunked ? DecodeChunks(BodyOf(aResponse)) : BodyOf(aResponse);
   const bool sound = this->checker.OnBytesReceived(received.id, aResponse);
   const bool own = this->checker.OnResponseReceived(received);
--- a/tests/soak/soak_judge.cc
+++ b/tests/soak/soak_judge.cc
@@ -28,13 +28,21 @@
 
 // aBytes in quotes, on one line.
 std::string
-Shown(const std::string& aBytes)
+Quoted(const std::string& aBytes)
 {
   std::string text = "'";
-  for (char byte : aBytes.substr(0, kMaxShownBytes)) {
+  for (char byte : aBytes) {
     text += byte == '\r' ? "\\r" : byte == '\n' ? "\\n" : std::string(1, byte);
   }
-  return text + (aBytes.size() > kMaxShownBytes ? "...'" : "'");
+  return text + "'";
+}
+
+// The same, shortened.
+std::string
+Shown(const std::string& aBytes)
+{
+  return Quoted(aBytes.substr(0, kMaxShownBytes)) +
+         (aBytes.size() > kMaxShownBytes ? "..." : "");
 }
 
 bool
@@ -420,7 +428,8 @@
     aResponse.status == 200 && aResponse.complete ? 1 : 0;
   const std::string fault = FaultOf(aResponse, record.produced);
   if (!fault.empty()) {
-    this->AddViolation("wrong_response", record, fault);
+    this->AddViolation(
+      "wrong_response", record, fault + ", as " + Quoted(aResponse.bytes));
   }
   this->CheckPreviousTurn(record);
   return fault.empty();
--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -122,6 +122,8 @@
   std::string digest;
   // Without its framing.
   std::string body;
+  // All bytes, for the report of a violation.
+  std::string bytes;
 };
 
 // The most endpoints that one attempt of a client may be sent to.
