soak: two comments of the judge and the responses read in order

The usage of soak_response.h tells the judge of the response that is sent, and the item of rate_limit in soak_judge.h is one paragraph. No change of code.

--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -36,11 +36,9 @@
 // - quota: executions for the rate-limited organisation in any window are at
 //   most (rate x window + burst) x (1 + overageFraction) +
 //   toleranceExecutions.
-//
-// - rate_limit: from kRateAdaptation after an endpoint first named a rate and
-// while
-//   it names it, it gets in any kRateWindow at most kRateFactor times as many
-//   requests as that allows, and kRateTolerance more.
+// - rate_limit: from kRateAdaptation after an endpoint first named a rate, and
+//   while it names it, it gets in any kRateWindow at most kRateFactor times as
+//   many requests as that allows, and kRateTolerance more.
 // - evacuated_zone: no request reaches an endpoint of a zone later than
 //   kEvacuationLimit after the record of its evacuation, until that is deleted.
 //
--- a/tests/soak/soak_response.h
+++ b/tests/soak/soak_response.h
@@ -3,10 +3,10 @@
 // Usage:
 //
 //   EndpointResponse response = MakeResponse(request, "tools-1.7", random);
+//   response = Intended(response, ResponseFault::kLost);   // under a fault
 //   checker.OnResponseProduced(response.Produced());
-//   return ToPreset(response);                             // as it should be
-//   response = Intended(response, ResponseFault::kLost);
 //   return Corrupt(response, { ResponseFault::kLost }, random);
+//   return ToPreset(response);                             // or without one
 #ifndef TANAGERSEAM_TESTS_SOAK_SOAK_RESPONSE_H_
 #define TANAGERSEAM_TESTS_SOAK_SOAK_RESPONSE_H_
 
