Tests: the blocking client against responses cut at each byte

The test of a cut head covered an orderly close only. It stays, and cuts at each byte of head and body follow, by length, chunks and without either, ended by close, close after a pause, reset and reset after a pause; and a response that stops and leaves its connection open.

Found nothing: all are failures that say that the request was sent.

--- a/http/testing/http_client_test.cc
+++ b/http/testing/http_client_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <cstdio>
 #include <thread>
+#include <vector>
 
 #include "gateway/testing/raw_peer.h"
 #include "http/http_client.h"
@@ -12,6 +14,7 @@
 namespace tanagerseam {
 namespace {
 
+using testing_support::Chunk;
 using testing_support::EndlessResponse;
 using testing_support::EndlessResponses;
 using testing_support::PresetResponse;
@@ -138,6 +141,145 @@
   EXPECT_EQ(Text(this->Get(all, true)), "200 whole body");
 }
 
+// Guards against a response that ends within its head or its body and passes
+// for a success with status 0, with a part of the headers or with a short body.
+class CutResponse : public BlockingClient
+{
+protected:
+  struct End
+  {
+    const char* name;
+    bool reset;
+    Millis pause;
+  };
+
+  struct Layout
+  {
+    std::string whole;
+    // From so many bytes on an orderly close leaves nothing missing: nothing
+    // tells the end of a body without a length, and a zero-sized chunk proves
+    // the body before it whole (RFC 9112, section 8).
+    size_t provedAt;
+  };
+
+  static Layout LengthLayout()
+  {
+    const std::string whole = Ok("whole body");
+    return { whole, whole.size() };
+  }
+
+  static Layout ChunkLayout()
+  {
+    const std::string whole = kStatusLine +
+                              "Transfer-Encoding: chunked\r\n\r\n" +
+                              Chunk("whole body") + "0\r\n";
+    return { whole + "\r\n", whole.size() };
+  }
+
+  static Layout UnframedLayout()
+  {
+    const std::string head = kStatusLine + "X-Last: header\r\n\r\n";
+    return { head + "whole body", head.size() };
+  }
+
+  // The call's path names the row of the layout, that of the end and the bytes
+  // that are sent.
+  void ServeCutResponses()
+  {
+    this->Serve([this](const std::string& aRequest) {
+      size_t layout = 0;
+      size_t end = 0;
+      size_t length = 0;
+      EXPECT_EQ(
+        sscanf(aRequest.c_str(), "GET /%zu/%zu/%zu ", &layout, &end, &length),
+        3);
+      PresetResponse response;
+      response.bytes = this->layouts[layout].whole.substr(0, length);
+      response.delay = this->ends[end].pause;
+      response.reset = this->ends[end].reset;
+      response.close = true;
+      return response;
+    });
+  }
+
+  std::string Result(size_t aLayout, size_t aEnd, size_t aLength)
+  {
+    return Text(this->Get("/" + std::to_string(aLayout) + "/" +
+                            std::to_string(aEnd) + "/" +
+                            std::to_string(aLength),
+                          true));
+  }
+
+  static inline const std::string kStatusLine = "HTTP/1.1 200 OK\r\n";
+  static constexpr Millis kPause{ 5 };
+  const std::vector<Layout> layouts = { LengthLayout(),
+                                        ChunkLayout(),
+                                        UnframedLayout() };
+  const std::vector<End> ends = { { "close", false, Millis(0) },
+                                  { "close after a pause", false, kPause },
+                                  { "reset", true, Millis(0) },
+                                  { "reset after a pause", true, kPause } };
+};
+
+TEST_F(CutResponse, IsAFailure)
+{
+  this->ServeCutResponses();
+  for (size_t end = 0; end < this->ends.size(); ++end) {
+    for (size_t layout = 0; layout < this->layouts.size(); ++layout) {
+      const Layout& row = this->layouts[layout];
+      SCOPED_TRACE(std::string(this->ends[end].name) + " within\n" + row.whole);
+      const bool reset = this->ends[end].reset;
+      const size_t cuts = reset ? row.whole.size() : row.provedAt;
+      for (size_t length = 0; length < cuts; ++length) {
+        EXPECT_EQ(this->Result(layout, end, length), "failure, sent")
+          << length << " bytes";
+      }
+      if (!reset) {
+        EXPECT_EQ(this->Result(layout, end, row.whole.size()),
+                  "200 whole body");
+      }
+    }
+  }
+}
+
+// A reset shows that more was to come.
+TEST_F(CutResponse, IsAFailureIfABodyWithoutLengthIsReset)
+{
+  this->ServeCutResponses();
+  const size_t unframed = this->layouts.size() - 1;
+  for (size_t end = 0; end < this->ends.size(); ++end) {
+    if (this->ends[end].reset) {
+      EXPECT_EQ(
+        this->Result(unframed, end, this->layouts[unframed].whole.size()),
+        "failure, sent")
+        << this->ends[end].name;
+    }
+  }
+}
+
+// Guards against a response that stops and leaves its connection open, and
+// passes for what has come of it once the time of the call is over.
+TEST_F(BlockingClient, TakesAResponseThatStopsForAFailure)
+{
+  const std::string whole = Ok("whole body");
+  const size_t headEnd = whole.find("\r\n\r\n") + 4;
+  const size_t statusLineEnd = whole.find("\r\n") + 2;
+  this->Serve([whole](const std::string& aRequest) {
+    const size_t at = aRequest.find("GET /") + 5;
+    return PresetResponse{ whole.substr(0, std::stoul(aRequest.substr(at))) };
+  });
+  for (const size_t length : { size_t{ 0 },
+                               statusLineEnd - 1,
+                               statusLineEnd,
+                               headEnd - 2,
+                               headEnd,
+                               whole.size() - 1 }) {
+    EXPECT_EQ(Text(this->Get("/" + std::to_string(length), true)),
+              "failure, sent")
+      << length << " bytes";
+  }
+}
+
 // Guards against a change of protocol, or an interim response without a final
 // one, that passes for a success; and against the next call on its connection.
 TEST_F(BlockingClient, TakesAResponseThatIsNotFinalForAFailure)
