Tests: a peer that ends within its response to a forwarded call

A forwarded call is relayed by the same ResponseRelay and EventClient as a call to an endpoint, so a cut head is an error there, too (gateway/forwarded_call.cc, OnDone: only an exchange without an error is passed on; a stream that has begun is broken off). No test showed it. The response of a peer is cut at each byte of head and body, by length, chunks and without either, by close and reset, for the three kinds of calls: the client gets 502 without the endpoint's digest, never 503, or a stream that is cut visibly.

The fixture can report another address for calls than the gateway's own server.

Found nothing.

--- a/gateway/testing/gateway_fixture.h
+++ b/gateway/testing/gateway_fixture.h
@@ -34,6 +34,8 @@
   bool recordRelay = false;
   size_t maxEndpointBytes = GatewaySettings{}.maxEndpointBytes;
   std::shared_ptr<HeldMemory> heldMemory;
+  // Where peers forward calls to; empty: the gateway's own server.
+  std::string callAddress;
 };
 
 // A registry of endpoints that is read as soon as the gateway asks for it.
@@ -96,7 +98,9 @@
   {
     GatewaySettings settings;
     settings.host = aName;
-    settings.callAddress = "127.0.0.1:" + std::to_string(aPort);
+    settings.callAddress = aOptions.callAddress.empty()
+                             ? "127.0.0.1:" + std::to_string(aPort)
+                             : aOptions.callAddress;
     settings.zone = "zone-a";
     settings.regions = ZoneRegions(
       { { "zone-a", "north" }, { "zone-b", "north" }, { "zone-s", "south" } });
--- a/gateway/testing/gateway_forward_test.cc
+++ b/gateway/testing/gateway_forward_test.cc
@@ -150,6 +150,158 @@
             502);
 }
 
+// Guards against a peer that ends within its response, which the client got as
+// a success with an empty or a short body, or as a refusal that says "not run".
+class PeerThatEndsEarly : public GatewayTest
+{
+protected:
+  enum class Framing
+  {
+    kLength,
+    kChunks,
+    kClose,
+  };
+
+  void SetUp() override
+  {
+    this->host.gateway.PutMember(this->host.Member("host-1"), false);
+    this->host.gateway.PutMember(this->peer.Member("host-2"), false);
+    this->peer.gateway.PutMember(this->host.Member("host-1"), false);
+    this->peer.gateway.PutMember(this->peer.Member("host-2"), false);
+    this->peer.ApplyCatalog();
+    this->peer.AddEndpoint("t-1", "tools", this->fake.Address());
+    this->peer.AddEndpoint("e-1", "engines", this->fake.Address());
+    this->ExchangeReports();
+  }
+
+  static std::string Whole(const std::string& aRequest, Framing aFraming)
+  {
+    const bool stream = aRequest.find("/ask/") != std::string::npos;
+    const std::string body = stream ? "id: 1\ndata: one\n\n" : "done";
+    const std::string head =
+      SuccessHead(aRequest) +
+      (stream ? "Content-Type: text/event-stream\r\n" : "");
+    switch (aFraming) {
+      case Framing::kLength:
+        return head + "Content-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+      case Framing::kChunks:
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + Chunk(body) +
+               "0\r\n\r\n";
+      case Framing::kClose:
+        break;
+    }
+    return head + "\r\n" + body;
+  }
+
+  PresetResponse Respond(const std::string& aRequest) const
+  {
+    PresetResponse response;
+    response.bytes = Whole(aRequest, this->framing).substr(0, this->length);
+    response.close = true;
+    response.reset = this->reset;
+    return response;
+  }
+
+  // The bytes from which on an orderly close leaves nothing missing: nothing
+  // tells the end of a body without a length, and a zero-sized chunk proves the
+  // body before it whole (RFC 9112, section 8). The events of a stream show
+  // where they end.
+  size_t ProvedAt(const std::string& aWhole) const
+  {
+    constexpr size_t kLastLineEnd = 2;
+    const bool stream = aWhole.find("data: ") != std::string::npos;
+    if (this->reset || this->framing == Framing::kLength) {
+      return aWhole.size();
+    }
+    if (this->framing == Framing::kChunks) {
+      return aWhole.size() - kLastLineEnd;
+    }
+    return stream ? aWhole.size() : aWhole.find("\r\n\r\n") + 4;
+  }
+
+  void CutAtEachByte(const std::string& aRequest)
+  {
+    const std::string whole = Whole(aRequest, this->framing);
+    const size_t headEnd = whole.find("\r\n\r\n") + 4;
+    const size_t end = this->ProvedAt(whole);
+    for (this->length = 0; this->length < end; ++this->length) {
+      // The peer stays ready only with a catalog that was read lately.
+      this->peer.gateway.ConfirmCatalog(BootNow());
+      this->peer.gateway.ConfirmEndpoints(BootNow());
+      const size_t before = this->fake.requests.size();
+      const std::string response = this->SendAndReceive(this->host, aRequest);
+      SCOPED_TRACE("cut behind byte " + std::to_string(this->length) + " of\n" +
+                   whole + "\nthe client got\n" + response);
+      EXPECT_EQ(this->fake.requests.size(), before + 1);
+      if (StatusOf(response) == 200) {
+        // A stream whose head came whole.
+        EXPECT_GE(this->length, headEnd);
+        EXPECT_NE(response.find("chunked"), std::string::npos);
+        EXPECT_FALSE(IsCompleteResponse(response));
+      } else {
+        EXPECT_EQ(StatusOf(response), 502);
+        EXPECT_EQ(response.find("X-Server-Seal"), std::string::npos);
+      }
+    }
+  }
+
+  Framing framing = Framing::kLength;
+  bool reset = false;
+  // The bytes of the response that are sent.
+  size_t length = 0;
+  // Stands for the server of host-2, which only reports.
+  RawEndpoint fake{ io, [this](const std::string& aRequest) {
+                     return this->Respond(aRequest);
+                   } };
+  GatewayHost peer{ io,
+                    log,
+                    "host-2",
+                    GatewaySettings{}.maxResponseBytes,
+                    CalledAt(fake.Address()) };
+
+private:
+  static GatewayHostOptions CalledAt(const std::string& aAddress)
+  {
+    GatewayHostOptions options;
+    options.callAddress = aAddress;
+    return options;
+  }
+};
+
+TEST_F(PeerThatEndsEarly, GivesNoSuccess)
+{
+  const std::string requests[] = {
+    this->Request("GET", "/look/1", "r-1"),
+    this->Request("POST", "/charge/1", "r-2", "x"),
+    this->TurnRequest("r-3", "", "x"),
+  };
+  for (const std::string& request : requests) {
+    for (const Framing each :
+         { Framing::kLength, Framing::kChunks, Framing::kClose }) {
+      for (const bool resets : { false, true }) {
+        this->framing = each;
+        this->reset = resets;
+        SCOPED_TRACE(resets ? "reset" : "close");
+        this->CutAtEachByte(request);
+      }
+    }
+  }
+}
+
+TEST_F(PeerThatEndsEarly, GivesItsWholeResponse)
+{
+  for (const Framing each :
+       { Framing::kLength, Framing::kChunks, Framing::kClose }) {
+    this->framing = each;
+    this->length = std::string::npos;
+    const std::string response =
+      this->SendAndReceive(this->host, this->Request("GET", "/look/1", "r-1"));
+    EXPECT_EQ(StatusOf(response), 200);
+    EXPECT_EQ(BodyOf(response), "done");
+  }
+}
+
 // Request smuggling: a request with ambiguous framing must not let a second one
 // hidden in its body reach an endpoint.
 
