http: a descriptor that libcurl closed without a word is nobody else's

Cause: libcurl 7.88 closes a socket that is still connecting, when its call is cancelled or the connection fails, without CURLOPT_CLOSESOCKETFUNCTION. CurlSockets, whose Asio socket held the same number, kept it. The number went to the next socket, often a client's, and when libcurl opened that number again the old Asio socket closed it under its new owner; from then on two owners wrote to one descriptor. It takes callers that leave while the host connects, so it grows with load and with hosts that stood still.

Ruled out: RESTinio's order of writes, the joining of small pieces, an aborted write that leaves an index behind (by reading); endpoints, whose bytes both hosts had.

Change: libcurl owns its descriptor and Asio waits on a duplicate, so that nothing here can close or watch another's number. A connection whose socket libcurl has closed unsaid is found by the identity of the two, and dropped when the next one is opened. Cost: two descriptors a connection.

--- a/http/curl_sockets.cc
+++ b/http/curl_sockets.cc
@@ -1,8 +1,14 @@
 #include "http/curl_sockets.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
 
 #include "kernel/log.h"
 
@@ -24,6 +30,18 @@
   }
 }
 
+// True if both numbers stand for one socket.
+bool
+AreSameSocket(int aFirst, int aSecond)
+{
+  struct stat first
+  {};
+  struct stat second
+  {};
+  return ::fstat(aFirst, &first) == 0 && ::fstat(aSecond, &second) == 0 &&
+         first.st_dev == second.st_dev && first.st_ino == second.st_ino;
+}
+
 } // namespace
 
 CurlSockets::CurlSockets(asio::io_context& aIo, Millis aUserTimeout)
@@ -69,11 +87,10 @@
   if (aPurpose != CURLSOCKTYPE_IPCXN || aAddress->family != AF_INET) {
     return CURL_SOCKET_BAD;
   }
-  auto watch = std::make_shared<Watch>(self->io);
-  asio::error_code error;
-  watch->socket.open(asio::ip::tcp::v4(), error);
-  if (error) {
-    LogWarn("socket_not_opened", { { "error", error.message() } });
+  self->DropAbandoned();
+  WatchPtr watch = self->OpenWatch();
+  if (!watch) {
+    LogWarn("socket_not_opened", { { "error", std::strerror(errno) } });
     return CURL_SOCKET_BAD;
   }
   const auto* address = reinterpret_cast<const sockaddr_in*>(&aAddress->addr);
@@ -81,24 +98,68 @@
                   ntohs(address->sin_port) };
   watch->number = ++self->opened;
   watch->openedAt = BootNow();
-  const int handle = watch->socket.native_handle();
+  const curl_socket_t handle = watch->handle;
   self->SetOptions(handle);
   self->watches[handle] = std::move(watch);
   return handle;
 }
 
+CurlSockets::WatchPtr
+CurlSockets::OpenWatch()
+{
+  const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, IPPROTO_TCP);
+  if (handle < 0) {
+    return nullptr;
+  }
+  const int duplicate = ::fcntl(handle, F_DUPFD_CLOEXEC, 0);
+  auto watch = std::make_shared<Watch>(this->io);
+  asio::error_code error;
+  if (duplicate >= 0) {
+    watch->socket.assign(asio::ip::tcp::v4(), duplicate, error);
+  }
+  if (duplicate < 0 || error) {
+    ::close(duplicate);
+    ::close(handle);
+    return nullptr;
+  }
+  watch->handle = handle;
+  return watch;
+}
+
+void
+CurlSockets::Drop(Watch& aWatch)
+{
+  aWatch.closed = true;
+  asio::error_code ignored;
+  aWatch.socket.close(ignored);
+}
+
+void
+CurlSockets::DropAbandoned()
+{
+  for (auto entry = this->watches.begin(); entry != this->watches.end();) {
+    Watch& watch = *entry->second;
+    const bool mayBeAbandoned = watch.requests == 0;
+    if (mayBeAbandoned &&
+        !AreSameSocket(watch.handle, watch.socket.native_handle())) {
+      Drop(watch);
+      entry = this->watches.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
 int
 CurlSockets::OnClose(void* aSelf, curl_socket_t aSocket)
 {
   auto* self = static_cast<CurlSockets*>(aSelf);
   auto found = self->watches.find(aSocket);
   if (found != self->watches.end()) {
-    found->second->closed = true;
-    asio::error_code ignored;
-    found->second->socket.close(ignored);
+    Drop(*found->second);
     self->watches.erase(found);
   }
-  return 0;
+  return ::close(aSocket);
 }
 
 int
@@ -200,7 +261,7 @@
     return;
   }
   const int select = aError ? CURL_CSELECT_ERR : aSelect;
-  this->onReady(aWatch->socket.native_handle(), select);
+  this->onReady(aWatch->handle, select);
   if (!aWatch->closed) {
     this->Wait(aWatch);
   }
--- a/http/curl_sockets.h
+++ b/http/curl_sockets.h
@@ -5,8 +5,16 @@
 //   sockets.AttachEasy(easy);    // libcurl opens and closes sockets through it
 //   sockets.AttachMulti(multi);  // and says what it waits for on each
 //
-// libcurl owns the connections and decides what it waits for; Asio does the
-// waiting. Used on the loop's thread only.
+// libcurl owns the sockets and decides what it waits for; Asio does the
+// waiting, on a duplicate of each. Used on the loop's thread only.
+//
+// Invariant: nothing here closes or waits on a descriptor that is not its own.
+// libcurl does not always say that it closes a socket: one that was still
+// connecting goes without a word, and its number soon belongs to another
+// socket. The duplicate's number does not, and a connection that has no socket
+// of libcurl any more is dropped when the next one is opened.
+//
+// Cost: two descriptors for each connection.
 #ifndef TANAGERSEAM_HTTP_CURL_SOCKETS_H_
 #define TANAGERSEAM_HTTP_CURL_SOCKETS_H_
 
@@ -53,7 +61,10 @@
       : socket(aIo)
     {
     }
+    // A duplicate of libcurl's socket.
     restinio::asio_ns::ip::tcp::socket socket;
+    // libcurl's socket.
+    curl_socket_t handle = CURL_SOCKET_BAD;
     // What libcurl was asked to connect to.
     restinio::asio_ns::ip::tcp::endpoint peer;
     uint64_t number = 0;
@@ -77,6 +88,11 @@
                       int aWhat,
                       void* aSelf,
                       void*);
+  // Opens libcurl's socket and its duplicate; null if that fails.
+  WatchPtr OpenWatch();
+  static void Drop(Watch& aWatch);
+  // Drops the connections whose sockets libcurl has closed without a word.
+  void DropAbandoned();
   static int LocalPortOf(Watch& aWatch);
   void SetOptions(int aSocket) const;
   void Wait(const WatchPtr& aWatch);
