--- a/tests/integration/gateway_cut_head_test.cc
+++ b/tests/integration/gateway_cut_head_test.cc
@@ -28,6 +28,7 @@
 constexpr Millis kBatchLimit(8000);
 // A trial that was refused before it reached the endpoint is sent again.
 constexpr int kMaxSends = 20;
+constexpr Millis kResendWait(100);
 // Between the cuts of a silent endpoint.
 constexpr size_t kSilenceStride = 16;
 
@@ -295,6 +296,9 @@
         this->CheckFollowingTurns(reached);
       }
       aTrials = again;
+      if (!aTrials.empty()) {
+        this->RunFor(kResendWait);
+      }
     }
     EXPECT_TRUE(aTrials.empty()) << "calls did not reach the endpoint";
   }
