--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -277,10 +277,11 @@
 public:
   using Handler = std::function<bool(Channel&, const Request&)>;
 
-  explicit Server(Handler aHandler)
+  // aPort 0: any free port.
+  explicit Server(Handler aHandler, int aPort = 0)
     : handler(std::move(aHandler))
   {
-    this->Listen(0);
+    this->Listen(aPort);
   }
   ~Server() { this->Stop(); }
   Server(const Server&) = delete;
@@ -788,18 +789,27 @@
 
 // ---- the system
 
+// A port that nobody uses and that is given to no other daemon, below those
+// that the system gives to channels.
 inline int
 FreePort()
 {
-  const int made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  ::bind(made, reinterpret_cast<sockaddr*>(&address), sizeof address);
-  ::getsockname(made, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(made);
-  return ntohs(address.sin_port);
+  static std::set<int> given;
+  static unsigned next = static_cast<unsigned>(::getpid()) * 37U;
+  while (true) {
+    const int port = 12000 + static_cast<int>(next++ % 20000U);
+    const int made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    const bool isFree =
+      ::bind(made, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(made);
+    if (isFree && given.insert(port).second) {
+      return port;
+    }
+  }
 }
 
 // The folder of a run, and whether the disruption happens in it.
@@ -975,11 +985,13 @@
             const std::string& aState = "ready",
             const std::string& aZone = "zone-a",
             int aSequence = 1,
-            int64_t aBorn = WallMillis())
+            int64_t aBorn = WallMillis(),
+            const std::string& aVersion = "v1")
 {
   return "{\"service\":" + Quoted(aService) +
          ",\"address\":" + Quoted(aAddress) + ",\"zone\":" + Quoted(aZone) +
-         ",\"version\":\"v1\",\"slots\":8,\"state\":" + Quoted(aState) +
+         ",\"version\":" + Quoted(aVersion) +
+         ",\"slots\":8,\"state\":" + Quoted(aState) +
          ",\"cold-left-ms\":0,\"stage\":\"both\",\"models\":[],\"sequence\":" +
          std::to_string(aSequence) + ",\"born\":" + std::to_string(aBorn) + "}";
 }
