--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -10,7 +10,7 @@
 constexpr int64_t kWindowMillis = 5000;
 // (per-s x window + burst) x (1 + overage) + tolerance
 constexpr double kBound = (kPerSecond * 5.0 + kBurst) * (1 + 0.1) + 20;
-constexpr int64_t kFreezeMillis = 1800;
+constexpr int64_t kFreezeMillis = 1600;
 // The tenant sends more than its cap for so long before and after.
 constexpr int64_t kLoadBeforeMillis = 3200;
 constexpr int64_t kLoadAfterMillis = 1500;
