--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -1,6 +1,7 @@
 // Messages between the hosts of the fleet: periodic load reports, reservations
 // of tokens from a program's budget, calls on an organisation's quota, where
-// event streams began, and records that a peer appends to the store's log.
+// event streams began, the events of streams that are kept as turns, and
+// records that a peer appends to the store's log.
 //
 //   FleetLink link(io, { "host-1", startTime, "10.0.0.1", 7780 });
 //   link.SetHandlers(handlers);
@@ -11,6 +12,8 @@
 //   link.AcquireQuota("host-2", OrganisationHash("ski-club"), wait, done);
 //   link.TellStreamBegan("host-2", stream, { "engines", "v1.2" });
 //   link.FindStream("host-2", stream, wait, done);
+//   link.TellStreamEvent("host-2", stream, event);
+//   link.FindStreamEvents("host-2", stream, lastEvent, wait, done);
 //   link.AppendRecord("host-2", { { "turns-3", 7 }, record }, wait, done);
 //
 // Each message is a FlatBuffer in one UDP datagram, so there is no connection
@@ -142,6 +145,15 @@
   std::optional<StreamOrigin> origin;
 };
 
+// What a host knows of a stream's events.
+struct StreamEventsAnswer
+{
+  // False: no answer in time, or one that a datagram can't hold.
+  bool answered = false;
+  // Empty if the host does not know the stream.
+  std::vector<StreamPart> parts;
+};
+
 // Why a message of a peer has no effect.
 enum class SkippedMessage
 {
@@ -207,6 +219,12 @@
   std::function<void(uint64_t aStream, const StreamOrigin&)> onStreamBegan;
   // Where the stream began; null if this host does not know it.
   std::function<const StreamOrigin*(uint64_t aStream)> onFindStream;
+  // A peer is about to pass an event of a stream on to a client. Optional, as
+  // onFindStreamEvents.
+  std::function<void(uint64_t aStream, PlacedEvent)> onStreamEvent;
+  // The events up to aLastEvent; see StreamEvents::Find.
+  std::function<std::vector<StreamPart>(uint64_t aStream, uint64_t aLastEvent)>
+    onFindStreamEvents;
   // A message was skipped. Optional.
   std::function<void(SkippedMessage)> onMessageSkipped;
   // Responds by calling the given function once.
@@ -244,7 +262,7 @@
   // Transmissions of a settlement until it is given up.
   static constexpr int kMaxSettleAttempts = 8;
   // Largest record that AppendRecord sends: a datagram of 60 KiB, less the
-  // names of the host and the topic.
+  // names of the host and the topic. The same for the events of a stream.
   static constexpr size_t kMaxRecordBytes = 59u << 10;
   // As kRetransmitInterval, doubled after each transmission. An append takes
   // several milliseconds and its datagram is up to 60 KiB, so the short
@@ -292,6 +310,18 @@
                   uint64_t aStream,
                   Millis aWait,
                   std::function<void(const StreamAnswer&)> aDone);
+  // Has no effect for a host that is not a peer. False, and nothing is sent, if
+  // the event does not fit into a datagram.
+  bool TellStreamEvent(const std::string& aHost,
+                       uint64_t aStream,
+                       const PlacedEvent& aEvent);
+  // Asks aHost for the events of a stream up to aLastEvent. There is no answer
+  // after aWait, and from a host that is not a peer.
+  void FindStreamEvents(const std::string& aHost,
+                        uint64_t aStream,
+                        uint64_t aLastEvent,
+                        Millis aWait,
+                        std::function<void(StreamEventsAnswer)> aDone);
   // Asks aHost to append a record to the store's log, and returns the id of the
   // request. The status is kPeerSilent after aWait, for a host that is not a
   // peer, and for a record of more than kMaxRecordBytes.
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -9,6 +9,7 @@
 #include "fleet/peer_requests.h"
 #include "fleet/report_wire.h"
 #include "fleet/response_wire.h"
+#include "fleet/stream_wire.h"
 
 namespace tanagerseam {
 
@@ -249,6 +250,15 @@
       case fleetwire::Body::RecordAppended:
         this->Complete(datagram.body.AsRecordAppended()->request, &datagram);
         break;
+      case fleetwire::Body::StreamEventPassed:
+        this->HandleStreamEvent(datagram);
+        break;
+      case fleetwire::Body::FindStreamEvents:
+        this->HandleFindStreamEvents(*datagram.body.AsFindStreamEvents());
+        break;
+      case fleetwire::Body::StreamEventsFound:
+        this->Complete(datagram.body.AsStreamEventsFound()->request, &datagram);
+        break;
       default:
         this->Skip(SkippedMessage::kUnknownType, datagram.host);
     }
@@ -398,6 +408,32 @@
     this->SendTo(this->sender, this->Encode(response));
   }
 
+  void HandleStreamEvent(const fleetwire::DatagramT& aDatagram)
+  {
+    const fleetwire::StreamEventPassedT& table =
+      *aDatagram.body.AsStreamEventPassed();
+    auto event = StreamEventFromWire(table);
+    if (!event) {
+      this->Skip(SkippedMessage::kUnreadable, aDatagram.host);
+    } else if (this->handlers.onStreamEvent) {
+      this->handlers.onStreamEvent(table.stream, std::move(*event));
+    }
+  }
+
+  void HandleFindStreamEvents(const fleetwire::FindStreamEventsT& aTable)
+  {
+    if (!this->handlers.onFindStreamEvents) {
+      return;
+    }
+    const auto parts =
+      this->handlers.onFindStreamEvents(aTable.stream, aTable.last);
+    const auto response = StreamEventsToWire(aTable.request, parts);
+    if (response.too_large) {
+      LogWarn("stream_events_too_large", {});
+    }
+    this->SendTo(this->sender, this->Encode(response));
+  }
+
   void HandleAppendRecord(const fleetwire::DatagramT& aDatagram)
   {
     AnswerAppend(this->RequestsOf(aDatagram),
@@ -575,6 +611,42 @@
     });
 }
 
+bool
+FleetLink::TellStreamEvent(const std::string& aHost,
+                           uint64_t aStream,
+                           const PlacedEvent& aEvent)
+{
+  if (aEvent.event.data.size() > kMaxRecordBytes) {
+    return false;
+  }
+  auto peer = this->impl->peers.find(aHost);
+  if (peer != this->impl->peers.end()) {
+    this->impl->SendTo(peer->second,
+                       this->impl->Encode(StreamEventToWire(aStream, aEvent)));
+  }
+  return true;
+}
+
+void
+FleetLink::FindStreamEvents(const std::string& aHost,
+                            uint64_t aStream,
+                            uint64_t aLastEvent,
+                            Millis aWait,
+                            std::function<void(StreamEventsAnswer)> aDone)
+{
+  fleetwire::FindStreamEventsT table;
+  table.request = this->impl->nextRequestId++;
+  table.stream = aStream;
+  table.last = aLastEvent;
+  this->impl->Request(
+    aHost,
+    table,
+    aWait,
+    [done = std::move(aDone)](const fleetwire::DatagramT* aResponse) {
+      done(StreamEventsAnswerOf(aResponse));
+    });
+}
+
 uint64_t
 FleetLink::AppendRecord(const std::string& aHost,
                         const PeerRecord& aRecord,
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -97,6 +97,26 @@
 struct RecordAppendedBuilder;
 struct RecordAppendedT;
 
+struct StreamEvent;
+struct StreamEventBuilder;
+struct StreamEventT;
+
+struct StreamPart;
+struct StreamPartBuilder;
+struct StreamPartT;
+
+struct StreamEventPassed;
+struct StreamEventPassedBuilder;
+struct StreamEventPassedT;
+
+struct FindStreamEvents;
+struct FindStreamEventsBuilder;
+struct FindStreamEventsT;
+
+struct StreamEventsFound;
+struct StreamEventsFoundBuilder;
+struct StreamEventsFoundT;
+
 struct Datagram;
 struct DatagramBuilder;
 struct DatagramT;
@@ -114,11 +134,14 @@
   StreamFound = 9,
   AppendRecord = 10,
   RecordAppended = 11,
+  StreamEventPassed = 12,
+  FindStreamEvents = 13,
+  StreamEventsFound = 14,
   MIN = NONE,
-  MAX = RecordAppended
+  MAX = StreamEventsFound
 };
 
-inline const Body (&EnumValuesBody())[12] {
+inline const Body (&EnumValuesBody())[15] {
   static const Body values[] = {
     Body::NONE,
     Body::LoadReport,
@@ -131,13 +154,16 @@
     Body::FindStream,
     Body::StreamFound,
     Body::AppendRecord,
-    Body::RecordAppended
+    Body::RecordAppended,
+    Body::StreamEventPassed,
+    Body::FindStreamEvents,
+    Body::StreamEventsFound
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[13] = {
+  static const char * const names[16] = {
     "NONE",
     "LoadReport",
     "ReserveTokens",
@@ -150,13 +176,16 @@
     "StreamFound",
     "AppendRecord",
     "RecordAppended",
+    "StreamEventPassed",
+    "FindStreamEvents",
+    "StreamEventsFound",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RecordAppended)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StreamEventsFound)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -209,6 +238,18 @@
   static const Body enum_value = Body::RecordAppended;
 };
 
+template<> struct BodyTraits<tanagerseam::fleetwire::StreamEventPassed> {
+  static const Body enum_value = Body::StreamEventPassed;
+};
+
+template<> struct BodyTraits<tanagerseam::fleetwire::FindStreamEvents> {
+  static const Body enum_value = Body::FindStreamEvents;
+};
+
+template<> struct BodyTraits<tanagerseam::fleetwire::StreamEventsFound> {
+  static const Body enum_value = Body::StreamEventsFound;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -257,6 +298,18 @@
   static const Body enum_value = Body::RecordAppended;
 };
 
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::StreamEventPassedT> {
+  static const Body enum_value = Body::StreamEventPassed;
+};
+
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::FindStreamEventsT> {
+  static const Body enum_value = Body::FindStreamEvents;
+};
+
+template<> struct BodyUnionTraits<tanagerseam::fleetwire::StreamEventsFoundT> {
+  static const Body enum_value = Body::StreamEventsFound;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -375,6 +428,30 @@
     return type == Body::RecordAppended ?
       reinterpret_cast<const tanagerseam::fleetwire::RecordAppendedT *>(value) : nullptr;
   }
+  tanagerseam::fleetwire::StreamEventPassedT *AsStreamEventPassed() {
+    return type == Body::StreamEventPassed ?
+      reinterpret_cast<tanagerseam::fleetwire::StreamEventPassedT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::StreamEventPassedT *AsStreamEventPassed() const {
+    return type == Body::StreamEventPassed ?
+      reinterpret_cast<const tanagerseam::fleetwire::StreamEventPassedT *>(value) : nullptr;
+  }
+  tanagerseam::fleetwire::FindStreamEventsT *AsFindStreamEvents() {
+    return type == Body::FindStreamEvents ?
+      reinterpret_cast<tanagerseam::fleetwire::FindStreamEventsT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::FindStreamEventsT *AsFindStreamEvents() const {
+    return type == Body::FindStreamEvents ?
+      reinterpret_cast<const tanagerseam::fleetwire::FindStreamEventsT *>(value) : nullptr;
+  }
+  tanagerseam::fleetwire::StreamEventsFoundT *AsStreamEventsFound() {
+    return type == Body::StreamEventsFound ?
+      reinterpret_cast<tanagerseam::fleetwire::StreamEventsFoundT *>(value) : nullptr;
+  }
+  const tanagerseam::fleetwire::StreamEventsFoundT *AsStreamEventsFound() const {
+    return type == Body::StreamEventsFound ?
+      reinterpret_cast<const tanagerseam::fleetwire::StreamEventsFoundT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2382,6 +2459,465 @@
 
 flatbuffers::Offset<RecordAppended> CreateRecordAppended(flatbuffers::FlatBufferBuilder &_fbb, const RecordAppendedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StreamEventT : public flatbuffers::NativeTable {
+  typedef StreamEvent TableType;
+  uint32_t position = 0;
+  uint64_t id = 0;
+  std::vector<uint8_t> data{};
+};
+
+struct StreamEvent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamEventT NativeTableType;
+  typedef StreamEventBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POSITION = 4,
+    VT_ID = 6,
+    VT_DATA = 8
+  };
+  uint32_t position() const {
+    return GetField<uint32_t>(VT_POSITION, 0);
+  }
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *data() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_POSITION, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_DATA) &&
+           verifier.VerifyVector(data()) &&
+           verifier.EndTable();
+  }
+  StreamEventT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamEventT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamEvent> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamEventBuilder {
+  typedef StreamEvent Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_position(uint32_t position) {
+    fbb_.AddElement<uint32_t>(StreamEvent::VT_POSITION, position, 0);
+  }
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(StreamEvent::VT_ID, id, 0);
+  }
+  void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
+    fbb_.AddOffset(StreamEvent::VT_DATA, data);
+  }
+  explicit StreamEventBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamEvent> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamEvent>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamEvent> CreateStreamEvent(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t position = 0,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
+  StreamEventBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_data(data);
+  builder_.add_position(position);
+  return builder_.Finish();
+}
+
+struct StreamEvent::Traits {
+  using type = StreamEvent;
+  static auto constexpr Create = CreateStreamEvent;
+};
+
+inline flatbuffers::Offset<StreamEvent> CreateStreamEventDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t position = 0,
+    uint64_t id = 0,
+    const std::vector<uint8_t> *data = nullptr) {
+  auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
+  return tanagerseam::fleetwire::CreateStreamEvent(
+      _fbb,
+      position,
+      id,
+      data__);
+}
+
+flatbuffers::Offset<StreamEvent> CreateStreamEvent(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamPartT : public flatbuffers::NativeTable {
+  typedef StreamPart TableType;
+  uint64_t attempt = 0;
+  bool resumes = false;
+  uint64_t after = 0;
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::StreamEventT>> events{};
+  StreamPartT() = default;
+  StreamPartT(const StreamPartT &o);
+  StreamPartT(StreamPartT&&) FLATBUFFERS_NOEXCEPT = default;
+  StreamPartT &operator=(StreamPartT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct StreamPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamPartT NativeTableType;
+  typedef StreamPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_RESUMES = 6,
+    VT_AFTER = 8,
+    VT_EVENTS = 10
+  };
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  bool resumes() const {
+    return GetField<uint8_t>(VT_RESUMES, 0) != 0;
+  }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamEvent>> *events() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamEvent>> *>(VT_EVENTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESUMES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyOffset(verifier, VT_EVENTS) &&
+           verifier.VerifyVector(events()) &&
+           verifier.VerifyVectorOfTables(events()) &&
+           verifier.EndTable();
+  }
+  StreamPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamPartBuilder {
+  typedef StreamPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(StreamPart::VT_ATTEMPT, attempt, 0);
+  }
+  void add_resumes(bool resumes) {
+    fbb_.AddElement<uint8_t>(StreamPart::VT_RESUMES, static_cast<uint8_t>(resumes), 0);
+  }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(StreamPart::VT_AFTER, after, 0);
+  }
+  void add_events(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamEvent>>> events) {
+    fbb_.AddOffset(StreamPart::VT_EVENTS, events);
+  }
+  explicit StreamPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamPart> CreateStreamPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    bool resumes = false,
+    uint64_t after = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamEvent>>> events = 0) {
+  StreamPartBuilder builder_(_fbb);
+  builder_.add_after(after);
+  builder_.add_attempt(attempt);
+  builder_.add_events(events);
+  builder_.add_resumes(resumes);
+  return builder_.Finish();
+}
+
+struct StreamPart::Traits {
+  using type = StreamPart;
+  static auto constexpr Create = CreateStreamPart;
+};
+
+inline flatbuffers::Offset<StreamPart> CreateStreamPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t attempt = 0,
+    bool resumes = false,
+    uint64_t after = 0,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamEvent>> *events = nullptr) {
+  auto events__ = events ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::StreamEvent>>(*events) : 0;
+  return tanagerseam::fleetwire::CreateStreamPart(
+      _fbb,
+      attempt,
+      resumes,
+      after,
+      events__);
+}
+
+flatbuffers::Offset<StreamPart> CreateStreamPart(flatbuffers::FlatBufferBuilder &_fbb, const StreamPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamEventPassedT : public flatbuffers::NativeTable {
+  typedef StreamEventPassed TableType;
+  uint64_t stream = 0;
+  std::unique_ptr<tanagerseam::fleetwire::StreamPartT> part{};
+  StreamEventPassedT() = default;
+  StreamEventPassedT(const StreamEventPassedT &o);
+  StreamEventPassedT(StreamEventPassedT&&) FLATBUFFERS_NOEXCEPT = default;
+  StreamEventPassedT &operator=(StreamEventPassedT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct StreamEventPassed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamEventPassedT NativeTableType;
+  typedef StreamEventPassedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAM = 4,
+    VT_PART = 6
+  };
+  uint64_t stream() const {
+    return GetField<uint64_t>(VT_STREAM, 0);
+  }
+  const tanagerseam::fleetwire::StreamPart *part() const {
+    return GetPointer<const tanagerseam::fleetwire::StreamPart *>(VT_PART);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyOffset(verifier, VT_PART) &&
+           verifier.VerifyTable(part()) &&
+           verifier.EndTable();
+  }
+  StreamEventPassedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamEventPassedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamEventPassed> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventPassedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamEventPassedBuilder {
+  typedef StreamEventPassed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stream(uint64_t stream) {
+    fbb_.AddElement<uint64_t>(StreamEventPassed::VT_STREAM, stream, 0);
+  }
+  void add_part(flatbuffers::Offset<tanagerseam::fleetwire::StreamPart> part) {
+    fbb_.AddOffset(StreamEventPassed::VT_PART, part);
+  }
+  explicit StreamEventPassedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamEventPassed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamEventPassed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamEventPassed> CreateStreamEventPassed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t stream = 0,
+    flatbuffers::Offset<tanagerseam::fleetwire::StreamPart> part = 0) {
+  StreamEventPassedBuilder builder_(_fbb);
+  builder_.add_stream(stream);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+struct StreamEventPassed::Traits {
+  using type = StreamEventPassed;
+  static auto constexpr Create = CreateStreamEventPassed;
+};
+
+flatbuffers::Offset<StreamEventPassed> CreateStreamEventPassed(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventPassedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FindStreamEventsT : public flatbuffers::NativeTable {
+  typedef FindStreamEvents TableType;
+  uint64_t request = 0;
+  uint64_t stream = 0;
+  uint64_t last = 0;
+};
+
+struct FindStreamEvents FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FindStreamEventsT NativeTableType;
+  typedef FindStreamEventsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_STREAM = 6,
+    VT_LAST = 8
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint64_t stream() const {
+    return GetField<uint64_t>(VT_STREAM, 0);
+  }
+  uint64_t last() const {
+    return GetField<uint64_t>(VT_LAST, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST, 8) &&
+           verifier.EndTable();
+  }
+  FindStreamEventsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FindStreamEventsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FindStreamEvents> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamEventsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FindStreamEventsBuilder {
+  typedef FindStreamEvents Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(FindStreamEvents::VT_REQUEST, request, 0);
+  }
+  void add_stream(uint64_t stream) {
+    fbb_.AddElement<uint64_t>(FindStreamEvents::VT_STREAM, stream, 0);
+  }
+  void add_last(uint64_t last) {
+    fbb_.AddElement<uint64_t>(FindStreamEvents::VT_LAST, last, 0);
+  }
+  explicit FindStreamEventsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FindStreamEvents> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FindStreamEvents>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FindStreamEvents> CreateFindStreamEvents(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint64_t stream = 0,
+    uint64_t last = 0) {
+  FindStreamEventsBuilder builder_(_fbb);
+  builder_.add_last(last);
+  builder_.add_stream(stream);
+  builder_.add_request(request);
+  return builder_.Finish();
+}
+
+struct FindStreamEvents::Traits {
+  using type = FindStreamEvents;
+  static auto constexpr Create = CreateFindStreamEvents;
+};
+
+flatbuffers::Offset<FindStreamEvents> CreateFindStreamEvents(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamEventsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamEventsFoundT : public flatbuffers::NativeTable {
+  typedef StreamEventsFound TableType;
+  uint64_t request = 0;
+  std::vector<std::unique_ptr<tanagerseam::fleetwire::StreamPartT>> parts{};
+  bool too_large = false;
+  StreamEventsFoundT() = default;
+  StreamEventsFoundT(const StreamEventsFoundT &o);
+  StreamEventsFoundT(StreamEventsFoundT&&) FLATBUFFERS_NOEXCEPT = default;
+  StreamEventsFoundT &operator=(StreamEventsFoundT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct StreamEventsFound FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamEventsFoundT NativeTableType;
+  typedef StreamEventsFoundBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_PARTS = 6,
+    VT_TOO_LARGE = 8
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamPart>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamPart>> *>(VT_PARTS);
+  }
+  bool too_large() const {
+    return GetField<uint8_t>(VT_TOO_LARGE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfTables(parts()) &&
+           VerifyField<uint8_t>(verifier, VT_TOO_LARGE, 1) &&
+           verifier.EndTable();
+  }
+  StreamEventsFoundT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamEventsFoundT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamEventsFound> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventsFoundT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamEventsFoundBuilder {
+  typedef StreamEventsFound Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(StreamEventsFound::VT_REQUEST, request, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamPart>>> parts) {
+    fbb_.AddOffset(StreamEventsFound::VT_PARTS, parts);
+  }
+  void add_too_large(bool too_large) {
+    fbb_.AddElement<uint8_t>(StreamEventsFound::VT_TOO_LARGE, static_cast<uint8_t>(too_large), 0);
+  }
+  explicit StreamEventsFoundBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamEventsFound> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamEventsFound>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamEventsFound> CreateStreamEventsFound(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamPart>>> parts = 0,
+    bool too_large = false) {
+  StreamEventsFoundBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_parts(parts);
+  builder_.add_too_large(too_large);
+  return builder_.Finish();
+}
+
+struct StreamEventsFound::Traits {
+  using type = StreamEventsFound;
+  static auto constexpr Create = CreateStreamEventsFound;
+};
+
+inline flatbuffers::Offset<StreamEventsFound> CreateStreamEventsFoundDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const std::vector<flatbuffers::Offset<tanagerseam::fleetwire::StreamPart>> *parts = nullptr,
+    bool too_large = false) {
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::StreamPart>>(*parts) : 0;
+  return tanagerseam::fleetwire::CreateStreamEventsFound(
+      _fbb,
+      request,
+      parts__,
+      too_large);
+}
+
+flatbuffers::Offset<StreamEventsFound> CreateStreamEventsFound(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventsFoundT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct DatagramT : public flatbuffers::NativeTable {
   typedef Datagram TableType;
   std::string host{};
@@ -2445,6 +2981,15 @@
   const tanagerseam::fleetwire::RecordAppended *body_as_RecordAppended() const {
     return body_type() == tanagerseam::fleetwire::Body::RecordAppended ? static_cast<const tanagerseam::fleetwire::RecordAppended *>(body()) : nullptr;
   }
+  const tanagerseam::fleetwire::StreamEventPassed *body_as_StreamEventPassed() const {
+    return body_type() == tanagerseam::fleetwire::Body::StreamEventPassed ? static_cast<const tanagerseam::fleetwire::StreamEventPassed *>(body()) : nullptr;
+  }
+  const tanagerseam::fleetwire::FindStreamEvents *body_as_FindStreamEvents() const {
+    return body_type() == tanagerseam::fleetwire::Body::FindStreamEvents ? static_cast<const tanagerseam::fleetwire::FindStreamEvents *>(body()) : nullptr;
+  }
+  const tanagerseam::fleetwire::StreamEventsFound *body_as_StreamEventsFound() const {
+    return body_type() == tanagerseam::fleetwire::Body::StreamEventsFound ? static_cast<const tanagerseam::fleetwire::StreamEventsFound *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -2504,6 +3049,18 @@
   return body_as_RecordAppended();
 }
 
+template<> inline const tanagerseam::fleetwire::StreamEventPassed *Datagram::body_as<tanagerseam::fleetwire::StreamEventPassed>() const {
+  return body_as_StreamEventPassed();
+}
+
+template<> inline const tanagerseam::fleetwire::FindStreamEvents *Datagram::body_as<tanagerseam::fleetwire::FindStreamEvents>() const {
+  return body_as_FindStreamEvents();
+}
+
+template<> inline const tanagerseam::fleetwire::StreamEventsFound *Datagram::body_as<tanagerseam::fleetwire::StreamEventsFound>() const {
+  return body_as_StreamEventsFound();
+}
+
 struct DatagramBuilder {
   typedef Datagram Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3234,6 +3791,207 @@
       _verdict);
 }
 
+inline StreamEventT *StreamEvent::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamEventT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamEvent::UnPackTo(StreamEventT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = position(); _o->position = _e; }
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
+}
+
+inline flatbuffers::Offset<StreamEvent> StreamEvent::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamEvent(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamEvent> CreateStreamEvent(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamEventT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _position = _o->position;
+  auto _id = _o->id;
+  auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
+  return tanagerseam::fleetwire::CreateStreamEvent(
+      _fbb,
+      _position,
+      _id,
+      _data);
+}
+
+inline StreamPartT::StreamPartT(const StreamPartT &o)
+      : attempt(o.attempt),
+        resumes(o.resumes),
+        after(o.after) {
+  events.reserve(o.events.size());
+  for (const auto &events_ : o.events) { events.emplace_back((events_) ? new tanagerseam::fleetwire::StreamEventT(*events_) : nullptr); }
+}
+
+inline StreamPartT &StreamPartT::operator=(StreamPartT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(attempt, o.attempt);
+  std::swap(resumes, o.resumes);
+  std::swap(after, o.after);
+  std::swap(events, o.events);
+  return *this;
+}
+
+inline StreamPartT *StreamPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamPart::UnPackTo(StreamPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = resumes(); _o->resumes = _e; }
+  { auto _e = after(); _o->after = _e; }
+  { auto _e = events(); if (_e) { _o->events.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->events[_i] = std::unique_ptr<tanagerseam::fleetwire::StreamEventT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<StreamPart> StreamPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamPart> CreateStreamPart(flatbuffers::FlatBufferBuilder &_fbb, const StreamPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt;
+  auto _resumes = _o->resumes;
+  auto _after = _o->after;
+  auto _events = _o->events.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::StreamEvent>> (_o->events.size(), [](size_t i, _VectorArgs *__va) { return CreateStreamEvent(*__va->__fbb, __va->__o->events[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return tanagerseam::fleetwire::CreateStreamPart(
+      _fbb,
+      _attempt,
+      _resumes,
+      _after,
+      _events);
+}
+
+inline StreamEventPassedT::StreamEventPassedT(const StreamEventPassedT &o)
+      : stream(o.stream),
+        part((o.part) ? new tanagerseam::fleetwire::StreamPartT(*o.part) : nullptr) {
+}
+
+inline StreamEventPassedT &StreamEventPassedT::operator=(StreamEventPassedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(stream, o.stream);
+  std::swap(part, o.part);
+  return *this;
+}
+
+inline StreamEventPassedT *StreamEventPassed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamEventPassedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamEventPassed::UnPackTo(StreamEventPassedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = stream(); _o->stream = _e; }
+  { auto _e = part(); if (_e) _o->part = std::unique_ptr<tanagerseam::fleetwire::StreamPartT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<StreamEventPassed> StreamEventPassed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventPassedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamEventPassed(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamEventPassed> CreateStreamEventPassed(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventPassedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamEventPassedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _stream = _o->stream;
+  auto _part = _o->part ? CreateStreamPart(_fbb, _o->part.get(), _rehasher) : 0;
+  return tanagerseam::fleetwire::CreateStreamEventPassed(
+      _fbb,
+      _stream,
+      _part);
+}
+
+inline FindStreamEventsT *FindStreamEvents::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FindStreamEventsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FindStreamEvents::UnPackTo(FindStreamEventsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = stream(); _o->stream = _e; }
+  { auto _e = last(); _o->last = _e; }
+}
+
+inline flatbuffers::Offset<FindStreamEvents> FindStreamEvents::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamEventsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFindStreamEvents(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FindStreamEvents> CreateFindStreamEvents(flatbuffers::FlatBufferBuilder &_fbb, const FindStreamEventsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FindStreamEventsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _stream = _o->stream;
+  auto _last = _o->last;
+  return tanagerseam::fleetwire::CreateFindStreamEvents(
+      _fbb,
+      _request,
+      _stream,
+      _last);
+}
+
+inline StreamEventsFoundT::StreamEventsFoundT(const StreamEventsFoundT &o)
+      : request(o.request),
+        too_large(o.too_large) {
+  parts.reserve(o.parts.size());
+  for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new tanagerseam::fleetwire::StreamPartT(*parts_) : nullptr); }
+}
+
+inline StreamEventsFoundT &StreamEventsFoundT::operator=(StreamEventsFoundT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request, o.request);
+  std::swap(parts, o.parts);
+  std::swap(too_large, o.too_large);
+  return *this;
+}
+
+inline StreamEventsFoundT *StreamEventsFound::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamEventsFoundT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamEventsFound::UnPackTo(StreamEventsFoundT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<tanagerseam::fleetwire::StreamPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = too_large(); _o->too_large = _e; }
+}
+
+inline flatbuffers::Offset<StreamEventsFound> StreamEventsFound::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventsFoundT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamEventsFound(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamEventsFound> CreateStreamEventsFound(flatbuffers::FlatBufferBuilder &_fbb, const StreamEventsFoundT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamEventsFoundT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<tanagerseam::fleetwire::StreamPart>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreateStreamPart(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _too_large = _o->too_large;
+  return tanagerseam::fleetwire::CreateStreamEventsFound(
+      _fbb,
+      _request,
+      _parts,
+      _too_large);
+}
+
 inline DatagramT *Datagram::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<DatagramT>();
   UnPackTo(_o.get(), _resolver);
@@ -3318,6 +4076,18 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::RecordAppended *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::StreamEventPassed: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamEventPassed *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::FindStreamEvents: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::FindStreamEvents *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StreamEventsFound: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamEventsFound *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3381,6 +4151,18 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::RecordAppended *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::StreamEventPassed: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamEventPassed *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::FindStreamEvents: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::FindStreamEvents *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::StreamEventsFound: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamEventsFound *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3432,6 +4214,18 @@
       auto ptr = reinterpret_cast<const tanagerseam::fleetwire::RecordAppendedT *>(value);
       return CreateRecordAppended(_fbb, ptr, _rehasher).Union();
     }
+    case Body::StreamEventPassed: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamEventPassedT *>(value);
+      return CreateStreamEventPassed(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::FindStreamEvents: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::FindStreamEventsT *>(value);
+      return CreateFindStreamEvents(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::StreamEventsFound: {
+      auto ptr = reinterpret_cast<const tanagerseam::fleetwire::StreamEventsFoundT *>(value);
+      return CreateStreamEventsFound(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3482,6 +4276,18 @@
       value = new tanagerseam::fleetwire::RecordAppendedT(*reinterpret_cast<tanagerseam::fleetwire::RecordAppendedT *>(u.value));
       break;
     }
+    case Body::StreamEventPassed: {
+      value = new tanagerseam::fleetwire::StreamEventPassedT(*reinterpret_cast<tanagerseam::fleetwire::StreamEventPassedT *>(u.value));
+      break;
+    }
+    case Body::FindStreamEvents: {
+      value = new tanagerseam::fleetwire::FindStreamEventsT(*reinterpret_cast<tanagerseam::fleetwire::FindStreamEventsT *>(u.value));
+      break;
+    }
+    case Body::StreamEventsFound: {
+      value = new tanagerseam::fleetwire::StreamEventsFoundT(*reinterpret_cast<tanagerseam::fleetwire::StreamEventsFoundT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3544,6 +4350,21 @@
       delete ptr;
       break;
     }
+    case Body::StreamEventPassed: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::StreamEventPassedT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::FindStreamEvents: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::FindStreamEventsT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::StreamEventsFound: {
+      auto ptr = reinterpret_cast<tanagerseam::fleetwire::StreamEventsFoundT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -45,6 +45,13 @@
     handlers.onFindStream = [this](uint64_t aStream) {
       return this->streams.Find(aStream, BootNow());
     };
+    handlers.onStreamEvent = [this](uint64_t aStream, PlacedEvent aEvent) {
+      this->streamEvents.Put(aStream, std::move(aEvent), BootNow());
+    };
+    handlers.onFindStreamEvents = [this](uint64_t aStream,
+                                         uint64_t aLastEvent) {
+      return this->streamEvents.Find(aStream, aLastEvent, BootNow());
+    };
     this->one->SetHandlers(std::move(handlers));
   }
 
@@ -100,6 +107,7 @@
   std::unique_ptr<FleetLink> two = Open("two", 1000, twoPort);
   std::vector<HostReport> reports;
   StreamOrigins streams;
+  StreamEvents streamEvents;
   std::vector<TokenRequest> requests;
   std::vector<int64_t> settledTokens;
   ReserveStatus status = ReserveStatus::kReserved;
@@ -213,6 +221,54 @@
   }
 }
 
+// Guards against a turn that loses an event between hosts.
+TEST_F(FleetLinkTest, CarriesTheEventsOfAStream)
+{
+  const uint64_t stream = StreamKey("club", "r-1");
+  const uint64_t attempt = StreamKey("club", "r-2");
+  const std::string data("\0\r\n\xff", 4);
+  const PlacedEvent event{ attempt, 4, 1, { 6, data } };
+  EXPECT_TRUE(this->two->TellStreamEvent("one", stream, event));
+  this->RunFor(Millis(20));
+  const auto find = [this, stream](uint64_t aLastEvent) {
+    StreamEventsAnswer answer;
+    this->two->FindStreamEvents(
+      "one", stream, aLastEvent, Millis(50), [&](StreamEventsAnswer aAnswer) {
+        answer = std::move(aAnswer);
+      });
+    this->RunFor(Millis(60));
+    return answer;
+  };
+  {
+    SCOPED_TRACE("as it was told");
+    const StreamEventsAnswer answer = find(6);
+    EXPECT_TRUE(answer.answered);
+    ASSERT_EQ(answer.parts.size(), 1u);
+    const StreamPart& part = answer.parts.front();
+    EXPECT_EQ(part.attempt, attempt);
+    EXPECT_EQ(part.after, 4u);
+    ASSERT_EQ(part.events.count(1), 1u);
+    EXPECT_EQ(part.events.at(1).id, 6u);
+    EXPECT_EQ(part.events.at(1).data, data);
+  }
+  {
+    SCOPED_TRACE("what no datagram holds counts as no answer");
+    const std::string large(FleetLink::kMaxRecordBytes, 'x');
+    EXPECT_TRUE(this->two->TellStreamEvent(
+      "one", stream, { attempt, 4, 2, { 7, large } }));
+    EXPECT_FALSE(this->two->TellStreamEvent(
+      "one", stream, { attempt, 4, 3, { 8, large + "x" } }));
+    this->RunFor(Millis(20));
+    EXPECT_TRUE(find(6).answered);
+    EXPECT_FALSE(find(7).answered);
+  }
+  {
+    SCOPED_TRACE("the host is gone");
+    this->one.reset();
+    EXPECT_FALSE(find(6).answered);
+  }
+}
+
 TEST_F(FleetLinkTest, ReportsNoAnswerFromUnresponsiveHost)
 {
   this->one.reset();
--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -156,8 +156,9 @@
   handlers.onHead = [self](EndpointResponseHead& aHead) {
     self->OnHead(aHead);
   };
-  handlers.onEvent = [self](std::string_view aData) {
-    return self->RecordEvent(aData);
+  handlers.onEvent = [self](std::optional<uint64_t> aId,
+                            std::string_view aData) {
+    return self->RecordEvent(aId, aData);
   };
   handlers.onDone = [self](const EventOutcome& aOutcome) {
     self->OnDone(aOutcome);
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "gateway/gateway_state.h"
 #include "gateway/response_relay.h"
@@ -73,6 +74,10 @@
   TimePoint EarliestBegin(TimePoint aNow) const;
   // Goes on with the call at its origin; refuses it if that is unknown.
   void ContinueAtOrigin(StreamLookupResult aLookup);
+  // Finds the events of a resumed turn that the client has, since the turn is
+  // kept whole; refuses the call if they can't be had.
+  void LoadBeginning();
+  void OnBeginning(const StreamBeginning& aBeginning);
   // Takes one call out of the organisation's rate quota, then places the call.
   void AcquireQuota();
   void OnQuotaDecision(bool aAdmitted);
@@ -135,7 +140,10 @@
   void AnnounceStream();
   // Counts an event, and keeps its data for the history. False if there is no
   // room for it.
-  bool RecordEvent(std::string_view aData);
+  bool RecordEvent(std::optional<uint64_t> aId, std::string_view aData);
+  // Tells other hosts of an event of a turn that may be resumed.
+  void TellEvent(std::optional<uint64_t> aId, std::string_view aData);
+  void BeginPassedStreams();
   // Finishes the stream, unless its endpoint crashed: the end of a connection
   // is the same for a stream that ends with it and for a crash behind an event.
   void CheckStreamWasWhole();
@@ -266,8 +274,12 @@
   TimePoint firstEventAt{};
   // Of the last attempt that ended.
   EventOutcome lastExchange;
-  // Data of all events of the turn, for the history.
+  // Data of all events of the turn, for the history; those that the client had
+  // before it resumed the turn come first.
   GatheredBody turnOutput;
+  // The stream under each name by which the client may resume it; empty until
+  // the first event.
+  std::vector<PassedStream> passedStreams;
 };
 
 } // namespace tanagerseam
--- a/gateway/call_resumption.cc
+++ b/gateway/call_resumption.cc
@@ -147,6 +147,58 @@
     return;
   }
   this->SetService(this->origin->service);
+  this->LoadBeginning();
+}
+
+void
+CallFlow::LoadBeginning()
+{
+  const StreamResumption& resumption = *this->call.resumption;
+  if (!this->route->retainsHistory || resumption.lastEvent.empty()) {
+    this->LoadHistory();
+    return;
+  }
+  const auto lastEvent = ParseEventId(resumption.lastEvent);
+  if (!lastEvent || (resumption.firstRequest.empty() && *lastEvent > 0)) {
+    this->OnBeginning({ BeginningResult::kUnknown, "" });
+    return;
+  }
+  this->state.streamEvents.Find(
+    StreamKey(this->OrganisationName(), resumption.firstRequest),
+    *lastEvent,
+    [self = this->shared_from_this()](const StreamBeginning& aBeginning) {
+      if (!self->ended) {
+        self->OnBeginning(aBeginning);
+      }
+    });
+}
+
+void
+CallFlow::OnBeginning(const StreamBeginning& aBeginning)
+{
+  const std::string result(NameOf(aBeginning.result));
+  this->state.dependencies.metrics.Count("tanagerseam_turn_beginnings_total",
+                                         { { "result", result } });
+  LogInfo(
+    "turn_beginning",
+    this->WithCallIds({ { "result", result },
+                        { "bytes", std::to_string(aBeginning.text.size()) } }));
+  if (aBeginning.result != BeginningResult::kFound) {
+    // A host that did not answer may know the events.
+    const bool mayFindLater = aBeginning.result == BeginningResult::kNoAnswer;
+    this->RefuseWithRetryAfter(RefusalReason::kStreamUnknown,
+                               "events before the break " + result,
+                               mayFindLater
+                                 ? std::optional<Millis>(this->DrawRetryAfter())
+                                 : std::nullopt);
+    return;
+  }
+  if (!this->turnOutput.Append(aBeginning.text)) {
+    this->RefuseWithRetryAfter(RefusalReason::kOverloaded,
+                               "no memory for the events before the break",
+                               this->DrawRetryAfter());
+    return;
+  }
   this->LoadHistory();
 }
 
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -14,7 +14,7 @@
 } // namespace
 
 bool
-CallFlow::RecordEvent(std::string_view aData)
+CallFlow::RecordEvent(std::optional<uint64_t> aId, std::string_view aData)
 {
   if (this->firstEventAt == TimePoint{}) {
     this->firstEventAt = BootNow();
@@ -27,8 +27,53 @@
   }
   this->usedTokens += this->tokensPerEvent;
   this->state.dispatcher.OnProgress(this->dispatchId, this->usedTokens);
-  return !this->route->retainsHistory ||
-         (this->turnOutput.Append(aData) && this->turnOutput.Append("\n"));
+  if (!this->route->retainsHistory) {
+    return true;
+  }
+  this->TellEvent(aId, aData);
+  return this->turnOutput.Append(aData) && this->turnOutput.Append("\n");
+}
+
+// A client counts what it has by the numbers of events, so a stream without
+// them can't be resumed as a turn.
+void
+CallFlow::TellEvent(std::optional<uint64_t> aId, std::string_view aData)
+{
+  if (!this->route->resumable || !aId) {
+    return;
+  }
+  if (this->passedStreams.empty()) {
+    this->BeginPassedStreams();
+  }
+  for (PassedStream& passed : this->passedStreams) {
+    this->state.streamEvents.Tell(passed, { *aId, std::string(aData) });
+  }
+}
+
+// The client may name the attempt that began the stream or this one.
+void
+CallFlow::BeginPassedStreams()
+{
+  const std::string organisation = this->OrganisationName();
+  const uint64_t own = StreamKey(organisation, this->call.requestId);
+  StreamEventClient& client = this->state.streamEvents;
+  this->passedStreams.push_back(client.Begin(own, own, std::nullopt));
+  if (!this->call.resumption) {
+    return;
+  }
+  const auto lastEvent = ParseEventId(this->call.resumption->lastEvent);
+  const std::string& first = this->call.resumption->firstRequest;
+  if (!first.empty()) {
+    this->passedStreams.push_back(
+      client.Begin(StreamKey(organisation, first), own, lastEvent.value_or(0)));
+  }
+  const std::string& beginning = this->turnOutput.Text();
+  if (!beginning.empty()) {
+    // As one event, less the line feed that follows each.
+    client.Tell(
+      this->passedStreams.front(),
+      { lastEvent.value_or(0), beginning.substr(0, beginning.size() - 1) });
+  }
 }
 
 // Called before the client gets the first event: it may come back at any moment
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -229,6 +229,12 @@
   handlers.onFindStream = [self](uint64_t aStream) {
     return self->state.streamOrigins.FindForPeer(aStream);
   };
+  handlers.onStreamEvent = [self](uint64_t aStream, PlacedEvent aEvent) {
+    self->state.streamEvents.OnTold(aStream, std::move(aEvent));
+  };
+  handlers.onFindStreamEvents = [self](uint64_t aStream, uint64_t aLastEvent) {
+    return self->state.streamEvents.FindForPeer(aStream, aLastEvent);
+  };
   handlers.onMessageSkipped = [self](SkippedMessage aReason) {
     self->state.dependencies.metrics.Count(
       "tanagerseam_peer_messages_skipped_total",
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -80,6 +80,7 @@
   , streamOrigins(this->settings.host,
                   aDependencies.link,
                   aDependencies.metrics)
+  , streamEvents(this->settings.host, aDependencies.link)
   , registryReadings(aDependencies.io, aDependencies.registry)
   , persistentLog(aDependencies.io, aDependencies.log)
   , budgets(this->persistentLog, MakeProgramSettings(this->settings))
@@ -395,6 +396,7 @@
   this->endpointQuota.SetMembers(hosts, reportPeriod);
   this->turnBudgets.SetMembers(hosts);
   this->streamOrigins.SetMembers(hosts);
+  this->streamEvents.SetMembers(hosts);
   this->dispatcher.SetFleetSize(std::max<size_t>(1, hosts.size()));
   this->dependencies.link.SetPeers(std::move(others));
 }
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include "gateway/registry_readings.h"
 #include "gateway/response_relay.h"
 #include "gateway/shutdown_schedule.h"
+#include "gateway/stream_event_client.h"
 #include "gateway/stream_origin_client.h"
 #include "gateway/turn_budgets.h"
 #include "quarantine/quarantine.h"
@@ -128,6 +129,7 @@
   FleetQuota endpointQuota;
   QuotaClient endpointQuotaClient;
   StreamOriginClient streamOrigins;
+  StreamEventClient streamEvents;
   VersionHistory versions;
   RegistryReadings registryReadings;
   // When a route last changed its services, by host and path prefix.
--- a/gateway/response_relay.cc
+++ b/gateway/response_relay.cc
@@ -128,7 +128,7 @@
     return this->Fail(EventError::kRejected, "an event id did not increase");
   }
   ++this->events;
-  return !aHandlers.onEvent || aHandlers.onEvent(aData);
+  return !aHandlers.onEvent || aHandlers.onEvent(this->parser.EventId(), aData);
 }
 
 void
--- a/gateway/response_relay.h
+++ b/gateway/response_relay.h
@@ -42,9 +42,10 @@
   // The head of the response, before anything is sent to the client. May change
   // the headers that are sent.
   std::function<void(EndpointResponseHead&)> onHead;
-  // The data of an event, before its end is sent to the client. False ends the
-  // exchange: there is no room for it.
-  std::function<bool(std::string_view)> onEvent;
+  // The number and the data of an event, before its end is sent to the client.
+  // The number is unset if the endpoint gave none. False ends the exchange:
+  // there is no room for it.
+  std::function<bool(std::optional<uint64_t>, std::string_view)> onEvent;
   // The end of the exchange, once.
   std::function<void(const EventOutcome&)> onDone;
 };
--- a/resumption/resumption.h
+++ b/resumption/resumption.h
@@ -38,14 +38,32 @@
 // one knows it. A host of a fleet that starts for the first time (OnNewFleet)
 // can, since no stream began before.
 //
+// A turn of a route that keeps history is stored whole, so a host that resumes
+// its stream needs the events that the client got before. Those who know are
+// the keepers: the host that passes an event on tells them first.
+//
+//   StreamEvents known;
+//   known.Put(stream, { attempt, after, position, { 4, "data" } }, now);
+//   std::vector<StreamPart> parts = known.Find(stream, lastEvent);
+//   MergeParts(partsOfAPeer, parts);
+//   std::optional<std::string> text = TextUpTo(parts, lastEvent);
+//
+// Each attempt of the client is a part: it begins behind the last event that
+// the client then had. So what the client holds of a part ends where the next
+// part begins, whatever its host passed on behind that. Where an event is
+// missing, or two parts begin at the same event, there is no text: no guess is
+// stored.
+//
 // Bounds: kMaxStreams origins for kStreamMemory each; the oldest is forgotten
-// first. A version is forgotten kStreamMemory after it was last seen.
+// first. A version is forgotten kStreamMemory after it was last seen. Events of
+// streams: kMaxBytes, and kEventMemory after the stream's last one.
 // Deterministic: the time is an argument.
 #ifndef TANAGERSEAM_RESUMPTION_RESUMPTION_H_
 #define TANAGERSEAM_RESUMPTION_RESUMPTION_H_
 
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -116,6 +134,77 @@
   std::deque<Arrival> arrivals;
 };
 
+// An event of a stream.
+struct StreamEvent
+{
+  uint64_t id = 0;
+  std::string data;
+};
+
+// An event with its place, as hosts tell it.
+struct PlacedEvent
+{
+  // StreamKey of the attempt that brought the event.
+  uint64_t attempt = 0;
+  // The last event that the client had when the attempt began; unset for an
+  // attempt that began the stream.
+  std::optional<uint64_t> after;
+  // Counted from 0 in the attempt.
+  uint32_t position = 0;
+  StreamEvent event;
+};
+
+// The events of one attempt, as far as they are known.
+struct StreamPart
+{
+  uint64_t attempt = 0;
+  std::optional<uint64_t> after;
+  // By position.
+  std::map<uint32_t, StreamEvent> events;
+};
+
+// Adds to aParts what aOther knows beyond them.
+void
+MergeParts(const std::vector<StreamPart>& aOther,
+           std::vector<StreamPart>& aParts);
+
+// The data of the events that a client has whose last one is aLastEvent, each
+// followed by a line feed. Unset unless they are certain.
+std::optional<std::string>
+TextUpTo(const std::vector<StreamPart>& aParts, uint64_t aLastEvent);
+
+class StreamEvents
+{
+public:
+  // Attempts of a client at one stream follow each other within seconds.
+  static constexpr Millis kEventMemory{ 60000 };
+  static constexpr size_t kMaxBytes = 4u << 20;
+
+  void Put(uint64_t aStream, PlacedEvent aEvent, TimePoint aNow);
+  // The events up to aLastEvent, and the parts that begin before it. Empty if
+  // the stream is not known.
+  std::vector<StreamPart> Find(uint64_t aStream,
+                               uint64_t aLastEvent,
+                               TimePoint aNow);
+  size_t Bytes() const { return this->bytes; }
+
+private:
+  struct Entry
+  {
+    uint64_t stream = 0;
+    std::vector<StreamPart> parts;
+    size_t bytes = 0;
+    TimePoint lastPutAt{};
+  };
+
+  void Forget(TimePoint aNow);
+
+  // The stream with the oldest last event first.
+  std::list<Entry> entries;
+  std::unordered_map<uint64_t, std::list<Entry>::iterator> byStream;
+  size_t bytes = 0;
+};
+
 class VersionHistory
 {
 public:
--- a/resumption/testing/resumption_test.cc
+++ b/resumption/testing/resumption_test.cc
@@ -216,5 +216,131 @@
                          StreamKeepersTest,
                          ::testing::Values(10, 79, 295));
 
+constexpr uint64_t kFirst = 11;
+constexpr uint64_t kAgain = 12;
+constexpr uint64_t kThird = 13;
+
+StreamPart
+MakePart(uint64_t aAttempt,
+         std::optional<uint64_t> aAfter,
+         const std::vector<uint64_t>& aIds)
+{
+  StreamPart part{ aAttempt, aAfter, {} };
+  uint32_t position = 0;
+  for (const uint64_t id : aIds) {
+    part.events[position++] = {
+      id, std::to_string(aAttempt) + "." + std::to_string(id)
+    };
+  }
+  return part;
+}
+
+// Guards against a turn that is kept with other events than its client has.
+TEST(TextUpToTest, TakesOfEachAttemptWhatTheClientHadOfIt)
+{
+  const std::vector<StreamPart> parts = {
+    MakePart(kThird, 3, { 4, 5 }),
+    MakePart(kFirst, std::nullopt, { 1, 2, 3, 4 }),
+    MakePart(kAgain, 2, { 3, 4, 5 }),
+  };
+  EXPECT_EQ(TextUpTo(parts, 2), "11.1\n11.2\n");
+  EXPECT_EQ(TextUpTo(parts, 3), "11.1\n11.2\n12.3\n");
+  EXPECT_EQ(TextUpTo(parts, 5), "11.1\n11.2\n12.3\n13.4\n13.5\n");
+  {
+    SCOPED_TRACE("a client without events");
+    EXPECT_EQ(TextUpTo(parts, 0), "");
+    EXPECT_EQ(TextUpTo({}, 0), "");
+  }
+  {
+    SCOPED_TRACE("events are numbered from 0");
+    const std::vector<StreamPart> fromZero = { MakePart(
+      kFirst, std::nullopt, { 0, 1 }) };
+    EXPECT_EQ(TextUpTo(fromZero, 0), "11.0\n");
+  }
+}
+
+// Guards against a guess where an event is missing or two attempts may have
+// brought it.
+TEST(TextUpToTest, IsUnsetUnlessCertain)
+{
+  const StreamPart first = MakePart(kFirst, std::nullopt, { 1, 2, 3, 4 });
+  {
+    SCOPED_TRACE("the stream is not known");
+    EXPECT_FALSE(TextUpTo({}, 2));
+  }
+  {
+    SCOPED_TRACE("the last event is missing");
+    EXPECT_FALSE(TextUpTo({ first }, 5));
+  }
+  {
+    SCOPED_TRACE("an event in between is missing");
+    StreamPart part = first;
+    part.events.erase(1);
+    EXPECT_FALSE(TextUpTo({ part }, 4));
+    EXPECT_TRUE(TextUpTo({ part }, 1));
+  }
+  {
+    SCOPED_TRACE("the event is missing in the attempt that brought it");
+    EXPECT_FALSE(TextUpTo({ first, MakePart(kAgain, 2, { 3 }) }, 4));
+  }
+  {
+    SCOPED_TRACE("two attempts began behind the same event");
+    const std::vector<StreamPart> parts = { first,
+                                            MakePart(kAgain, 2, { 3 }),
+                                            MakePart(kThird, 2, { 3, 4 }) };
+    EXPECT_FALSE(TextUpTo(parts, 3));
+    EXPECT_FALSE(TextUpTo(parts, 4));
+    EXPECT_TRUE(TextUpTo(parts, 2));
+  }
+}
+
+TEST(StreamEventsTest, KeepsEventsOfManyHostsTogether)
+{
+  StreamEvents known;
+  const TimePoint now = BootNow();
+  const uint64_t stream = 7;
+  known.Put(stream, { kFirst, std::nullopt, 0, { 1, "one" } }, now);
+  known.Put(stream, { kAgain, 1, 0, { 2, "two" } }, now);
+  std::vector<StreamPart> parts = known.Find(stream, 3, now);
+  EXPECT_FALSE(TextUpTo(parts, 3));
+  StreamEvents peer;
+  peer.Put(stream, { kAgain, 1, 1, { 3, "three" } }, now);
+  MergeParts(peer.Find(stream, 3, now), parts);
+  EXPECT_EQ(TextUpTo(parts, 3), "one\ntwo\nthree\n");
+  {
+    SCOPED_TRACE("repeated messages change nothing");
+    known.Put(stream, { kAgain, 1, 0, { 2, "two" } }, now);
+    EXPECT_EQ(TextUpTo(known.Find(stream, 2, now), 2), "one\ntwo\n");
+  }
+}
+
+// Guards against memory that grows with the streams of the fleet.
+TEST(StreamEventsTest, ForgetsTheStreamWithTheOldestLastEvent)
+{
+  StreamEvents known;
+  const TimePoint now = BootNow();
+  const std::string data(StreamEvents::kMaxBytes / 8, 'x');
+  known.Put(0, { kFirst, std::nullopt, 0, { 1, "kept" } }, now);
+  for (uint64_t stream = 1; stream <= 20; ++stream) {
+    known.Put(stream, { kFirst, std::nullopt, 0, { 1, data } }, now);
+    known.Put(0,
+              { kFirst,
+                std::nullopt,
+                static_cast<uint32_t>(stream),
+                { stream + 1, "kept" } },
+              now);
+    EXPECT_LE(known.Bytes(), StreamEvents::kMaxBytes);
+  }
+  EXPECT_TRUE(known.Find(1, 1, now).empty());
+  EXPECT_FALSE(known.Find(20, 1, now).empty());
+  EXPECT_TRUE(TextUpTo(known.Find(0, 21, now), 21));
+  {
+    SCOPED_TRACE("nothing is kept for longer than a client may come back");
+    const TimePoint later = now + StreamEvents::kEventMemory + Millis(1);
+    EXPECT_TRUE(known.Find(0, 21, later).empty());
+    EXPECT_EQ(known.Bytes(), 0u);
+  }
+}
+
 } // namespace
 } // namespace tanagerseam
