--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -7,6 +7,8 @@
 //   const OrganisationEntry* organisation =
 //     catalog.FindOrganisation("key-1");
 //
+//   EndpointEntryOrder order;
+//   if (!order.Take(entry, now)) { ... an older entry, executed late }
 //   EndpointTable endpoints;
 //   endpoints.Put(entry, now);
 //   endpoints.Remove("i-17", now);
@@ -201,10 +203,48 @@
   bool draining = false;
   // Start of this incarnation, in milliseconds since the epoch; 0 if unknown.
   int64_t startedAtMillis = 0;
+  // Grows with each entry of an incarnation; unset if unknown.
+  std::optional<int64_t> sequence;
   // For how much longer it is cold, as of when the entry was written.
   Millis coldLeft{ 0 };
 };
 
+// Tells an endpoint's newest entry from earlier ones that the registry executed
+// after it: a write without an answer may take effect seconds later.
+//
+// An entry of an earlier incarnation is outdated, and so is one of the same
+// incarnation with a lower sequence. Where the sequences are equal, or one is
+// missing, only an entry that takes back draining is outdated: an incarnation
+// that drains ends. Entries without a known start are never outdated, since
+// their sequences may have begun anew.
+class EndpointEntryOrder
+{
+public:
+  // Late writes are executed within seconds.
+  static constexpr Millis kMemory{ 600000 };
+
+  // Takes aEntry as the newest of its endpoint; false if it is outdated.
+  bool Take(const EndpointEntry& aEntry, TimePoint aNow);
+  // Number of endpoints that are remembered.
+  size_t Size() const { return this->newest.size(); }
+
+private:
+  struct Newest
+  {
+    int64_t startedAtMillis = 0;
+    std::optional<int64_t> sequence;
+    bool draining = false;
+    TimePoint takenAt{};
+  };
+
+  static bool IsOutdated(const EndpointEntry& aEntry, const Newest& aNewest);
+  void Forget(TimePoint aNow);
+
+  // By endpoint id, also of endpoints that have left the registry.
+  std::unordered_map<std::string, Newest> newest;
+  TimePoint forgetAt{};
+};
+
 // An endpoint's announcement that it is about to shut down.
 struct LeavingEndpoint
 {
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -349,5 +349,77 @@
   EXPECT_EQ(this->Usable(), 1u);
 }
 
+// Guards against an endpoint that counts as ready again because the registry
+// executed one of its earlier writes last.
+class EndpointEntryOrderTest : public ::testing::Test
+{
+protected:
+  bool Take(int64_t aStart,
+            std::optional<int64_t> aSequence,
+            bool aDraining = false,
+            int64_t aNow = 0)
+  {
+    EndpointEntry entry;
+    entry.id = "i-1";
+    entry.startedAtMillis = aStart;
+    entry.sequence = aSequence;
+    entry.draining = aDraining;
+    return this->order.Take(entry, At(aNow));
+  }
+
+  EndpointEntryOrder order;
+};
+
+TEST_F(EndpointEntryOrderTest, GoesByStartThenBySequence)
+{
+  EXPECT_TRUE(this->Take(1000, 4));
+  EXPECT_FALSE(this->Take(1000, 3));
+  EXPECT_TRUE(this->Take(1000, 5, true));
+  EXPECT_FALSE(this->Take(1000, 4));
+  EXPECT_TRUE(this->Take(2000, 1)) << "a new incarnation counts from the start";
+  EXPECT_FALSE(this->Take(1000, 6, true));
+  EXPECT_TRUE(this->Take(2000, 1)) << "the same entry, read again";
+}
+
+TEST_F(EndpointEntryOrderTest, WithoutAnOrderOnlyDrainingStays)
+{
+  const auto unknown = std::nullopt;
+  {
+    SCOPED_TRACE("equal sequences");
+    EXPECT_TRUE(this->Take(1000, 4, true));
+    EXPECT_FALSE(this->Take(1000, 4));
+    EXPECT_TRUE(this->Take(1000, 4, true));
+  }
+  {
+    SCOPED_TRACE("an entry without a sequence");
+    EXPECT_FALSE(this->Take(1000, unknown));
+    EXPECT_TRUE(this->Take(2000, unknown));
+    EXPECT_TRUE(this->Take(2000, 1));
+    EXPECT_TRUE(this->Take(2000, unknown, true));
+    EXPECT_FALSE(this->Take(2000, 2));
+  }
+  {
+    SCOPED_TRACE("an entry without a start is older than one with it");
+    EXPECT_FALSE(this->Take(0, 9));
+  }
+}
+
+TEST_F(EndpointEntryOrderTest, EntriesWithoutAStartAreAllTaken)
+{
+  EXPECT_TRUE(this->Take(0, 5, true));
+  EXPECT_TRUE(this->Take(0, 1));
+}
+
+TEST_F(EndpointEntryOrderTest, ForgetsEndpointsThatAreGone)
+{
+  const int64_t memory = EndpointEntryOrder::kMemory.count();
+  EXPECT_TRUE(this->Take(1000, 4, true));
+  EXPECT_FALSE(this->Take(1000, 3, false, memory - 1));
+  EndpointEntry other;
+  other.id = "i-2";
+  EXPECT_TRUE(this->order.Take(other, At(memory + 20000)));
+  EXPECT_EQ(this->order.Size(), 1u);
+}
+
 } // namespace
 } // namespace tanagerseam
--- a/daemon/gateway_process.cc
+++ b/daemon/gateway_process.cc
@@ -225,12 +225,6 @@
       this->gateway.RemoveEndpoint(aId);
       return;
     }
-    int64_t& newestStart = this->newestStartTimes[aId];
-    if (entry->startedAtMillis < newestStart) {
-      LogInfo("server_entry_outdated", { { "endpoint", aId } });
-      return;
-    }
-    newestStart = entry->startedAtMillis;
     this->gateway.PutEndpoint(std::move(*entry));
   }
 
@@ -412,7 +406,6 @@
   asio::steady_timer announceTimer;
   asio::steady_timer fileTimer;
   std::string fileText;
-  std::unordered_map<std::string, int64_t> newestStartTimes;
   bool configurationLost = false;
   bool serversLost = false;
   bool membersLoaded = false;
--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -303,6 +303,14 @@
 {
   GatewayState& state = this->impl->state;
   const std::string id = aEndpoint.id;
+  if (!state.entryOrder.Take(aEndpoint, BootNow())) {
+    LogInfo("server_entry_outdated",
+            { { "endpoint", id },
+              { "started", std::to_string(aEndpoint.startedAtMillis) },
+              { "sequence", std::to_string(aEndpoint.sequence.value_or(0)) },
+              { "draining", aEndpoint.draining ? "true" : "false" } });
+    return;
+  }
   const EndpointEntry* previous = state.endpoints.Find(id);
   const bool changed = previous == nullptr ||
                        previous->address != aEndpoint.address ||
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -141,6 +141,8 @@
   void PutEvacuation(const ZoneEvacuation& aRecord);
   // All such records before this position have been passed on.
   void ConfirmEvacuations(int64_t aPosition);
+  // Has no effect for an entry that is older than one that was put before; see
+  // EndpointEntryOrder.
   void PutEndpoint(EndpointEntry aEndpoint);
   void RemoveEndpoint(const std::string& aId);
   // Reading the endpoint registry failed, or a reading that began at
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -112,6 +112,7 @@
   OutgoingBytes outgoing;
   std::shared_ptr<const Catalog> catalog;
   TimePoint catalogConfirmedAt{};
+  EndpointEntryOrder entryOrder;
   EndpointTable endpoints;
   EndpointRateLimits rateLimits;
   ColdEndpoints coldEndpoints;
