--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -28,6 +28,8 @@
   void Tick()
   {
     const TimePoint now = BootNow();
+    this->state.quota.OnTick(now);
+    this->state.endpointQuota.OnTick(now);
     const auto expired = this->state.endpoints.PurgeRemoved(now);
     for (const std::string& id : expired) {
       LogInfo("endpoint_removed", { { "endpoint", id }, { "why", "expired" } });
--- a/quota/peer_reports.cc
+++ b/quota/peer_reports.cc
@@ -60,6 +60,7 @@
                          const QuotaReports& aReports,
                          TimePoint aNow)
 {
+  this->OnTick(aNow);
   const bool known = this->peers.count(aHost) > 0;
   Peer& peer = this->peers[aHost];
   UnreportedGrants& grants = this->unreportedGrants[aHost];
--- a/quota/quota.cc
+++ b/quota/quota.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace tanagerseam {
@@ -134,8 +135,16 @@
 FleetQuota::IsReachable(const std::string& aHost, TimePoint aNow) const
 {
   auto peer = this->peers.find(aHost);
-  return peer != this->peers.end() &&
-         aNow - peer->second.reportedAt <= this->ReportTimeout();
+  if (peer == this->peers.end()) {
+    return false;
+  }
+  const TimePoint reportedAt = peer->second.reportedAt;
+  const bool reportedBefore = reportedAt < this->resumedAt &&
+                              aNow - this->resumedAt < this->MaxCatchUpTime();
+  // No report could arrive during the pause.
+  const auto age =
+    aNow - reportedAt - (reportedBefore ? this->pause : Millis(0));
+  return age <= this->ReportTimeout();
 }
 
 bool
@@ -169,11 +178,43 @@
   return this->reachableFraction;
 }
 
+void
+FleetQuota::OnTick(TimePoint aNow)
+{
+  const bool paused =
+    this->lastTickAt != TimePoint{} && aNow - this->lastTickAt > kMaxPause;
+  if (paused) {
+    this->resumedAt = aNow;
+    this->pause = std::chrono::duration_cast<Millis>(aNow - this->lastTickAt);
+    LogInfo("quota_paused",
+            { { "pause_ms", std::to_string(this->pause.count()) } });
+  }
+  this->lastTickAt = std::max(this->lastTickAt, aNow);
+}
+
+bool
+FleetQuota::IsCatchingUp(TimePoint aNow) const
+{
+  if (this->resumedAt == TimePoint{} ||
+      aNow - this->resumedAt >= this->MaxCatchUpTime()) {
+    return false;
+  }
+  if (aNow - this->resumedAt < this->reportPeriod) {
+    return true;
+  }
+  return std::any_of(
+    this->peers.begin(), this->peers.end(), [&](const auto& aPeer) {
+      return this->IsReachable(aPeer.first, aNow) &&
+             aPeer.second.reportedAt < this->resumedAt;
+    });
+}
+
 std::string
 FleetQuota::FindOwner(uint64_t aHash, TimePoint aNow) const
 {
   std::string owner = this->ownHost;
-  uint64_t highest = RendezvousRank(aHash, this->ownHash);
+  uint64_t highest =
+    this->IsCatchingUp(aNow) ? 0 : RendezvousRank(aHash, this->ownHash);
   for (const Member& member : this->members) {
     const uint64_t rank = RendezvousRank(aHash, member.hash);
     if (rank <= highest || !this->IsReachable(member.host, aNow)) {
@@ -226,7 +267,10 @@
   }
   aState.refilledAt = aNow;
   const double reachable = this->ReachableFraction(aNow);
-  const double burst = aState.cap.burst * reachable;
+  // What refills during a pause is charged with the calls of that time first.
+  const double burst = this->IsCatchingUp(aNow)
+                         ? std::numeric_limits<double>::max()
+                         : aState.cap.burst * reachable;
   const double rate = aState.cap.ratePerSecond * reachable;
   aState.fleetBucket = std::min(burst, aState.fleetBucket + seconds * rate);
   aState.reservationBucket =
@@ -360,7 +404,7 @@
   if (owner != this->ownHost) {
     return { QuotaVerdict::kAskOwner, owner };
   }
-  if (this->IsSubstitute(aHash, aNow)) {
+  if (this->IsSubstitute(aHash, aNow) || this->IsCatchingUp(aNow)) {
     return this->DecideFromShare(aState, aNow);
   }
   if (!this->ChargeFleetBucket(aState, aNow)) {
@@ -390,6 +434,7 @@
   }
   OrganisationState& state = *found;
   const double window = std::chrono::duration<double>(kDemandWindow).count();
+  this->OnTick(aNow);
   state.demand = DemandAt(state, aNow) + 1 / window;
   state.demandAt = aNow;
   if (state.cap.ratePerSecond <= 0) {
@@ -443,6 +488,10 @@
     return std::nullopt;
   }
   const bool limited = found->second.cap.ratePerSecond > 0;
+  this->OnTick(aNow);
+  if (limited && this->IsCatchingUp(aNow)) {
+    return std::nullopt;
+  }
   if (limited && found->second.cap.strictOwner &&
       !this->IsFirstOwner(aOrganisationHash, aNow)) {
     return false;
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -5,6 +5,7 @@
 //   quota.SetMembers({ "host-1", "host-2" }, Millis(100));
 //   quota.SetCap("ski-club", { 155, 155 }, false, now);
 //   quota.OnPeerReport("host-2", startTime2, reports, now);
+//   quota.OnTick(now);   // several times within kMaxPause, also without calls
 //   if (!quota.AdmitProgram("ski-club", now)) { ... refuse the program ... }
 //   const QuotaDecision decision = quota.AdmitCall("ski-club", now);
 //   if (decision.verdict == QuotaVerdict::kAskOwner) {
@@ -46,6 +47,12 @@
 // together may so use up to twice the rate. Where that is too much, it refuses
 // instead, and the cap is served again when the owner's reports have timed out.
 //
+// Pause: a host that stood still does not know what others granted meanwhile,
+// and calls that waited in its sockets come before its peers' reports. So after
+// a pause it does not decide as an owner: it asks the next member for its own
+// calls and gives its peers no answer, until all reachable peers have reported
+// and one report period has passed.
+//
 // Bound: burst + rate x time + the local allowance of all hosts. The bucket
 // then becomes negative, and that debt is paid by later calls.
 //
@@ -170,6 +177,8 @@
   static constexpr int kMissedReports = 3;
   // An owner that did not answer is not asked again for this long.
   static constexpr Millis kSuspicionDuration{ 1000 };
+  // A host that took no part in anything for longer has stood still.
+  static constexpr Millis kMaxPause{ 200 };
   // Owners that are asked for one call.
   static constexpr int kMaxAsks = 2;
   // Time constant of the exponential average of demand.
@@ -209,6 +218,8 @@
                     const QuotaReports& aReports,
                     TimePoint aNow);
 
+  // Shows that this host runs.
+  void OnTick(TimePoint aNow);
   // Decides about one call. An admitted call is charged to the fleet bucket.
   QuotaDecision AdmitCall(const std::string& aOrganisation, TimePoint aNow);
   // The owner that AdmitCall named has admitted the call.
@@ -220,7 +231,7 @@
                                   int aAsks,
                                   TimePoint aNow);
   // Decides about a call at aHost as its organisation's owner. Nothing for an
-  // organisation that is not known here.
+  // organisation that is not known here, and after a pause.
   std::optional<bool> AdmitForPeer(uint64_t aOrganisationHash,
                                    const std::string& aHost,
                                    TimePoint aNow);
@@ -315,14 +326,20 @@
                        uint64_t& aUnreportedGrants,
                        TimePoint aNow);
   QuotaDecision DecideFromShare(OrganisationState& aState, TimePoint aNow);
+  // True after a pause, until the replicas are charged with what the peers
+  // granted during it.
+  bool IsCatchingUp(TimePoint aNow) const;
   // True if no member that reports ranks higher, whether it answers or not.
   bool IsFirstOwner(uint64_t aHash, TimePoint aNow) const;
   // True if this host would own the quota only because members that report did
   // not answer.
   bool IsSubstitute(uint64_t aHash, TimePoint aNow) const;
-  // The reachable member that owns the organisation's quota; may be this host.
+  // The reachable member that owns the organisation's quota; may be this host,
+  // while it catches up only if it reaches no other.
   std::string FindOwner(uint64_t aHash, TimePoint aNow) const;
   Millis ReportTimeout() const;
+  // Peers that have not reported by then are given up.
+  Millis MaxCatchUpTime() const { return kMissedReports * this->reportPeriod; }
   bool IsReachable(const std::string& aHost, TimePoint aNow) const;
   // True if the host, as an owner, did not answer within kSuspicionDuration.
   bool IsSuspect(const std::string& aHost, TimePoint aNow) const;
@@ -343,6 +360,11 @@
   // By host.
   std::unordered_map<std::string, UnreportedGrants> unreportedGrants;
   std::unordered_map<std::string, TimePoint> suspectUntil;
+  // When this host last took part, and when it last did so after a pause.
+  TimePoint lastTickAt{};
+  TimePoint resumedAt{};
+  // How long it stood still before that.
+  Millis pause{ 0 };
   // Result of ReachableFraction as of reachableAt.
   mutable double reachableFraction = 1;
   mutable TimePoint reachableAt{};
--- a/quota/testing/quota_test.cc
+++ b/quota/testing/quota_test.cc
@@ -3,6 +3,8 @@
 // restarts stay within the cap, and admitted programs can finish.
 #include <gtest/gtest.h>
 
+#include <tuple>
+
 #include "quota/testing/simulated_fleet.h"
 
 namespace tanagerseam {
@@ -17,6 +19,7 @@
   EXPECT_LT(fleet.Run(0, 20000, 17), 0.005);
   {
     SCOPED_TRACE("a burst of calls at one host");
+    fleet.Run(20000, 20200, 0);
     fleet.ExchangeReports(20200);
     int refused = 0;
     for (int i = 0; i < 15; ++i) {
@@ -204,6 +207,116 @@
                          LargeFleetQuotaTest,
                          ::testing::Values(79, 295));
 
+// An organisation that sends four times its cap, in a fleet where hosts stand
+// still for a time.
+class SleepingHostTest
+  : public ::testing::TestWithParam<std::tuple<int, int64_t>>
+{
+protected:
+  static constexpr QuotaCap kCap{ 50, 50 };
+  static constexpr double kLoad = 200;
+  // When the load begins, and when the first host falls asleep.
+  static constexpr int64_t kLoadAt = 6000;
+  static constexpr int64_t kSleepAt = 9200;
+  // Calls of clients whose connections lead to the host that sleeps.
+  static constexpr int kCallsAtSleeper = 100;
+
+  void SetUp() override
+  {
+    this->fleet.Run(0, kLoadAt, 0);
+    this->fleet.Run(kLoadAt, kSleepAt, kLoad);
+  }
+
+  int64_t SleepTime() const { return std::get<1>(GetParam()); }
+
+  // The host that decides for others, as far as this one knows.
+  size_t OwnerFor(size_t aHost, int64_t aNow) const
+  {
+    const auto& names = this->fleet.names;
+    const std::string owner =
+      this->fleet.hosts[aHost].Status(kOrganisation, At(aNow)).owner;
+    return static_cast<size_t>(std::find(names.begin(), names.end(), owner) -
+                               names.begin());
+  }
+
+  // Any host but aOther.
+  static size_t AnotherThan(size_t aOther) { return aOther == 0 ? 1 : 0; }
+
+  void FallAsleep(size_t aHost, int64_t aNow)
+  {
+    this->fleet.frozen[aHost] = true;
+    // They come late enough to be waiting when it wakes.
+    const int64_t half = aNow + this->SleepTime() / 2;
+    this->fleet.waiting[aHost].assign(kCallsAtSleeper, half);
+  }
+
+  // Returns the time at its end.
+  int64_t Sleep(size_t aHost, int64_t aFrom)
+  {
+    this->FallAsleep(aHost, aFrom);
+    this->fleet.Run(aFrom, aFrom + this->SleepTime(), kLoad);
+    this->fleet.frozen[aHost] = false;
+    return aFrom + this->SleepTime();
+  }
+
+  size_t AdmittedSince(int64_t aFrom) const
+  {
+    const auto& times = this->fleet.admittedAt;
+    return static_cast<size_t>(
+      times.end() - std::lower_bound(times.begin(), times.end(), aFrom));
+  }
+
+  SimulatedFleet fleet{ std::get<0>(GetParam()), kCap };
+};
+
+// Guards against an owner that wakes and grants the calls that waited at it
+// from what it knew before, while others had granted in its place.
+TEST_P(SleepingHostTest, OwnerKeepsTheCapAndServesSoon)
+{
+  const size_t owner = this->OwnerFor(0, kSleepAt);
+  const int64_t wokeAt = this->Sleep(owner, kSleepAt);
+  this->fleet.Run(wokeAt, wokeAt + 6000, kLoad);
+  EXPECT_LE(this->fleet.MaxCallsInWindow(), this->fleet.Bound());
+  // Most of the rate is used while it catches up, and after.
+  EXPECT_GE(this->AdmittedSince(wokeAt), kCap.ratePerSecond * 6 * 0.8);
+}
+
+TEST_P(SleepingHostTest, OwnerThatSleepsTwiceKeepsTheCap)
+{
+  const size_t owner = this->OwnerFor(0, kSleepAt);
+  const int64_t wokeAt = this->Sleep(owner, kSleepAt);
+  this->fleet.Run(wokeAt, wokeAt + 300, kLoad);
+  const int64_t wokeAgainAt = this->Sleep(owner, wokeAt + 300);
+  this->fleet.Run(wokeAgainAt, wokeAgainAt + 5000, kLoad);
+  EXPECT_LE(this->fleet.MaxCallsInWindow(), this->fleet.Bound());
+}
+
+// The host that decides in the owner's place falls asleep, too.
+TEST_P(SleepingHostTest, SubstituteKeepsTheCap)
+{
+  const size_t owner = this->OwnerFor(0, kSleepAt);
+  this->FallAsleep(owner, kSleepAt);
+  this->fleet.Run(kSleepAt, kSleepAt + 400, kLoad);
+  const size_t substitute = this->OwnerFor(AnotherThan(owner), kSleepAt + 400);
+  const int64_t wokeAt = this->Sleep(substitute, kSleepAt + 400);
+  this->fleet.Run(wokeAt, wokeAt + 400, kLoad);
+  this->fleet.frozen[owner] = false;
+  this->fleet.Run(wokeAt + 400, wokeAt + 5400, kLoad);
+  EXPECT_LE(this->fleet.MaxCallsInWindow(), this->fleet.Bound());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  HostsAndMillis,
+  SleepingHostTest,
+  ::testing::Combine(
+    ::testing::Values(9, 79),
+    ::testing::Values(150, 400, 900, 1600, 1900, 2100, 3500, 5000)));
+INSTANTIATE_TEST_SUITE_P(
+  ManyHostsAndMillis,
+  SleepingHostTest,
+  ::testing::Combine(::testing::Values(295),
+                     ::testing::Values(400, 1900, 3500)));
+
 // The rate that an endpoint takes from the whole fleet: no burst, and a slack
 // that is less than one call for each host.
 class EndpointRateTest : public ::testing::TestWithParam<int>
--- a/quota/testing/simulated_fleet.h
+++ b/quota/testing/simulated_fleet.h
@@ -17,6 +17,8 @@
 
 inline const std::string kOrganisation = "club";
 constexpr int kReportIntervalMillis = 100;
+// Clients of a frozen host leave after this time.
+constexpr int64_t kPatienceMillis = 3000;
 // Peers that get one report; see FleetLink.
 constexpr size_t kReportFanOut = 16;
 constexpr QuotaSlack kOrganisationSlack{ Millis(5000), 0.1, 20 };
@@ -44,6 +46,7 @@
       this->inMajority.push_back(true);
       this->frozen.push_back(false);
     }
+    this->waiting.resize(this->names.size());
     for (int i = 0; i < aHosts; ++i) {
       this->hosts.push_back(this->NewHost(i, aStartFull, 0));
     }
@@ -89,9 +92,20 @@
            this->inMajority[aFrom] == this->inMajority[aTo];
   }
 
+  // All hosts that run show it.
+  void Tick(int64_t aNow)
+  {
+    for (size_t i = 0; i < this->hosts.size(); ++i) {
+      if (!this->frozen[i]) {
+        this->hosts[i].OnTick(At(aNow));
+      }
+    }
+  }
+
   // One round: each host reports to the next kReportFanOut of its peers.
   void ExchangeReports(int64_t aNow)
   {
+    this->Tick(aNow);
     const size_t count = this->hosts.size();
     const size_t first = 1 + this->reportRound * kReportFanOut;
     const size_t last = std::min(count, first + kReportFanOut);
@@ -108,6 +122,17 @@
     this->reportRound = (this->reportRound + 1) % this->ReportRounds();
   }
 
+  // Nothing if the owner does not answer.
+  std::optional<bool> AskOwner(size_t aOwner, int aHost, int64_t aNow)
+  {
+    if (!this->Connected(aHost, aOwner)) {
+      return std::nullopt;
+    }
+    ++this->asks;
+    return this->hosts[aOwner].AdmitForPeer(
+      OrganisationHash(kOrganisation), this->names[aHost], At(aNow));
+  }
+
   bool Decide(int aHost, int64_t aNow)
   {
     FleetQuota& host = this->hosts[aHost];
@@ -116,18 +141,16 @@
       const auto owner = static_cast<size_t>(
         std::find(this->names.begin(), this->names.end(), decision.owner) -
         this->names.begin());
-      if (!this->Connected(aHost, owner)) {
+      const auto granted = this->AskOwner(owner, aHost, aNow);
+      if (!granted) {
         decision =
           host.AdmitAfterSilence(kOrganisation, decision.owner, asks, At(aNow));
         continue;
       }
-      ++this->asks;
-      const auto granted = this->hosts[owner].AdmitForPeer(
-        OrganisationHash(kOrganisation), this->names[aHost], At(aNow));
-      if (granted.value_or(false)) {
+      if (*granted) {
         host.OnGranted(kOrganisation, At(aNow));
       }
-      return granted.value_or(false);
+      return *granted;
     }
     return decision.verdict == QuotaVerdict::kAdmitted;
   }
@@ -141,6 +164,21 @@
     return admitted;
   }
 
+  // Decides the calls that came to a host while it was frozen, unless their
+  // clients have left.
+  void DecideWaiting(int64_t aNow)
+  {
+    for (size_t at = 0; at < this->hosts.size(); ++at) {
+      std::deque<int64_t>& calls = this->waiting[at];
+      while (!this->frozen[at] && !calls.empty()) {
+        if (aNow - calls.front() < kPatienceMillis) {
+          this->AdmitCall(static_cast<int>(at), aNow);
+        }
+        calls.pop_front();
+      }
+    }
+  }
+
   // Sends aCallsPerSecond calls on average, in groups of aGroupSize, each to a
   // random host; returns the fraction refused.
   double Run(int64_t aFrom,
@@ -154,12 +192,15 @@
       0, static_cast<int>(this->hosts.size()) - 1);
     std::poisson_distribution<int> groups(aCallsPerSecond / aGroupSize / 1000);
     for (int64_t now = aFrom; now < aTo; ++now) {
+      // A host that wakes reads its clients' sockets before its peers'.
+      this->DecideWaiting(now);
       if (now % kReportIntervalMillis == 0) {
         this->ExchangeReports(now);
       }
       for (int i = groups(this->random) * aGroupSize; i > 0; --i) {
         const int at = host(this->random);
         if (this->frozen[at]) {
+          this->waiting[at].push_back(now);
           continue;
         }
         ++total;
@@ -221,8 +262,10 @@
   std::vector<std::string> names;
   std::vector<uint64_t> startTimes;
   std::vector<bool> inMajority;
-  // Neither sends nor answers, and gets no calls.
+  // Neither sends nor answers; calls wait in its sockets.
   std::vector<bool> frozen;
+  // When the calls came that wait at each host.
+  std::vector<std::deque<int64_t>> waiting;
   std::vector<FleetQuota> hosts;
   std::vector<int64_t> admittedAt;
   // No host reaches another.
