A late announcement does not move a member back

What is seen: the store executes an announcement of a host's earlier start after that of the present one. Its peers then send their messages to the address that the host has left, until its next announcement, 4 s at most.

The newest record of a member is the last one executed; its start stands in the entry and was not read.

Change: the start goes into FleetMember; an announcement of an earlier start at another address has no effect. At the same address it counts as before, so a host whose clock was set back between two starts does not expire.

--- a/daemon/member_entry.cc
+++ b/daemon/member_entry.cc
@@ -43,11 +43,16 @@
     LogWarn("member_entry_unreadable", { { "member", aHost } });
     return std::nullopt;
   }
+  const auto started = fields.find("started");
+  const bool hasStart =
+    started != fields.end() && started->is_number_unsigned();
   const auto zone = fields.find("zone");
   const bool hasZone = zone != fields.end() && zone->is_string();
-  return FleetMember{
-    aHost, address->ip, address->port, hasZone ? zone->get<std::string>() : ""
-  };
+  return FleetMember{ aHost,
+                      address->ip,
+                      address->port,
+                      hasZone ? zone->get<std::string>() : "",
+                      hasStart ? started->get<uint64_t>() : 0 };
 }
 
 } // namespace tanagerseam
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -57,6 +57,8 @@
   uint16_t port = 0;
   // Empty if its announcement does not say.
   std::string zone;
+  // See HostReport::startTime; 0 if its announcement does not say.
+  uint64_t startTime = 0;
 };
 
 struct HostReport
--- a/fleet/member_table.cc
+++ b/fleet/member_table.cc
@@ -13,6 +13,12 @@
   Entry& entry = this->entries[aMember.host];
   const bool moved =
     entry.member.ip != aMember.ip || entry.member.port != aMember.port;
+  const bool isEarlier = known && aMember.startTime != 0 &&
+                         aMember.startTime < entry.member.startTime;
+  if (isEarlier && moved) {
+    LogInfo("member_entry_outdated", { { "member", aMember.host } });
+    return false;
+  }
   entry.member = aMember;
   entry.expiresAt = aNow + (aAgeUnknown ? kUnknownAgeTtl : kAnnouncementTtl);
   return !known || moved;
--- a/fleet/member_table.h
+++ b/fleet/member_table.h
@@ -40,7 +40,8 @@
   static constexpr Millis kLogStablePeriod{ 8000 };
 
   // aAgeUnknown: the announcement was made before this host began to read the
-  // log. True if the member is new or has a new address.
+  // log. True if the member is new or has a new address. An announcement of an
+  // earlier start at another address was executed late and has no effect.
   bool OnAnnouncement(const FleetMember& aMember,
                       bool aAgeUnknown,
                       TimePoint aNow);
--- a/fleet/testing/member_table_test.cc
+++ b/fleet/testing/member_table_test.cc
@@ -56,6 +56,25 @@
   EXPECT_FALSE(this->table.Remove("a"));
 }
 
+// Guards against messages to an address that the host has left: the store
+// executed an announcement of its earlier start after that of the present one.
+TEST_F(MemberTableTest, IgnoresALateAnnouncementOfAnEarlierStart)
+{
+  FleetMember earlier = MemberNamed("a");
+  earlier.startTime = 1000;
+  FleetMember present = earlier;
+  present.startTime = 2000;
+  present.port += 1;
+  EXPECT_TRUE(this->table.OnAnnouncement(present, false, At(0)));
+  EXPECT_FALSE(this->table.OnAnnouncement(earlier, false, At(3000)));
+  EXPECT_EQ(this->table.Members().at(0).port, present.port);
+  {
+    SCOPED_TRACE("one that does not say when it started is believed");
+    earlier.startTime = 0;
+    EXPECT_TRUE(this->table.OnAnnouncement(earlier, false, At(4000)));
+  }
+}
+
 // Regression test (soak test, seed 69): three hosts that had restarted while
 // the log was unavailable removed each other, and each used the whole quota.
 TEST_F(MemberTableTest, KeepsMembersWhileLogIsUnavailable)
