--- a/http/testing/http_client_test.cc
+++ b/http/testing/http_client_test.cc
@@ -302,6 +302,21 @@
   }
 }
 
+// Guards against a status that is none and passes for a response, of the store
+// or of a model engine.
+TEST_F(BlockingClient, TakesAStatusThatIsNoneForAFailure)
+{
+  std::string status;
+  this->Serve([&status](const std::string&) {
+    return PresetResponse{ "HTTP/1.1 " + status +
+                           " X\r\nContent-Length: 4\r\n\r\nbody" };
+  });
+  for (const char* each : { "000", "001", "099", "199", "0", "0000", "-01" }) {
+    status = each;
+    EXPECT_EQ(Text(this->Get("/1", true)), "failure, sent") << status;
+  }
+}
+
 // Guards against the headers of an interim response in those of the final one.
 TEST_F(BlockingClient, LeavesOutTheHeadersOfAnInterimResponse)
 {
