EndpointEntryOrder: its comment says what an unknown start means

It said that entries without a start are never outdated. They are, beside one with a start, as the code and its test have it. No logic changes.

--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -215,8 +215,8 @@
 // An entry of an earlier incarnation is outdated, and so is one of the same
 // incarnation with a lower sequence. Where the sequences are equal, or one is
 // missing, only an entry that takes back draining is outdated: an incarnation
-// that drains ends. Entries without a known start are never outdated, since
-// their sequences may have begun anew.
+// that drains ends. An unknown start counts as the earliest; where neither is
+// known, no entry is outdated, since the sequence may have begun anew.
 class EndpointEntryOrder
 {
 public:
