Unknown streams are refused in one place

ContinueAtOrigin and OnBeginning chose the Retry-After of a stream_unknown in the same lines. Both call RefuseUnknownStream. The refusals are the same.

--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -74,6 +74,8 @@
   TimePoint EarliestBegin(TimePoint aNow) const;
   // Goes on with the call at its origin; refuses it if that is unknown.
   void ContinueAtOrigin(StreamLookupResult aLookup);
+  // aMayFindLater: a host that did not answer may know what is missing.
+  void RefuseUnknownStream(const std::string& aDetail, bool aMayFindLater);
   // Finds the events of a resumed turn that the client has, since the turn is
   // kept whole; refuses the call if they can't be had.
   void LoadBeginning();
--- a/gateway/call_resumption.cc
+++ b/gateway/call_resumption.cc
@@ -122,13 +122,8 @@
 CallFlow::ContinueAtOrigin(StreamLookupResult aLookup)
 {
   if (!this->origin) {
-    // A host that did not answer may know the stream.
-    const bool mayFindLater = aLookup == StreamLookupResult::kNoAnswer;
-    this->RefuseWithRetryAfter(RefusalReason::kStreamUnknown,
-                               "origin " + std::string(NameOf(aLookup)),
-                               mayFindLater
-                                 ? std::optional<Millis>(this->DrawRetryAfter())
-                                 : std::nullopt);
+    this->RefuseUnknownStream("origin " + std::string(NameOf(aLookup)),
+                              aLookup == StreamLookupResult::kNoAnswer);
     return;
   }
   LogInfo("stream_resumed",
@@ -150,6 +145,16 @@
   this->LoadBeginning();
 }
 
+void
+CallFlow::RefuseUnknownStream(const std::string& aDetail, bool aMayFindLater)
+{
+  const auto retryAfter = aMayFindLater
+                            ? std::optional<Millis>(this->DrawRetryAfter())
+                            : std::nullopt;
+  this->RefuseWithRetryAfter(
+    RefusalReason::kStreamUnknown, aDetail, retryAfter);
+}
+
 void
 CallFlow::LoadBeginning()
 {
@@ -184,13 +189,8 @@
     this->WithCallIds({ { "result", result },
                         { "bytes", std::to_string(aBeginning.text.size()) } }));
   if (aBeginning.result != BeginningResult::kFound) {
-    // A host that did not answer may know the events.
-    const bool mayFindLater = aBeginning.result == BeginningResult::kNoAnswer;
-    this->RefuseWithRetryAfter(RefusalReason::kStreamUnknown,
-                               "events before the break " + result,
-                               mayFindLater
-                                 ? std::optional<Millis>(this->DrawRetryAfter())
-                                 : std::nullopt);
+    this->RefuseUnknownStream("events before the break " + result,
+                              aBeginning.result == BeginningResult::kNoAnswer);
     return;
   }
   if (!this->turnOutput.Append(aBeginning.text)) {
