An event of a turn is encoded once for all hosts that are told

FleetLink::TellStreamEvent was called and encoded the same message for each of the two hosts, for each event. It takes the hosts and encodes once; finding a peer and sending to it stands in SendToPeer, which TellStreamBegan uses too. The messages are the same.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -12,7 +12,7 @@
 //   link.AcquireQuota("host-2", OrganisationHash("ski-club"), wait, done);
 //   link.TellStreamBegan("host-2", stream, { "engines", "v1.2" });
 //   link.FindStream("host-2", stream, wait, done);
-//   link.TellStreamEvent("host-2", stream, event);
+//   link.TellStreamEvent({ "host-2", "host-3" }, stream, event);
 //   link.FindStreamEvents("host-2", stream, lastEvent, wait, done);
 //   link.AppendRecord("host-2", { { "turns-3", 7 }, record }, wait, done);
 //
@@ -314,7 +314,7 @@
                   std::function<void(const StreamAnswer&)> aDone);
   // Has no effect for a host that is not a peer. False, and nothing is sent, if
   // the event does not fit into a datagram.
-  bool TellStreamEvent(const std::string& aHost,
+  bool TellStreamEvent(const std::vector<std::string>& aHosts,
                        uint64_t aStream,
                        const PlacedEvent& aEvent);
   // Asks aHost for the events of a stream up to aLastEvent. There is no answer
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -116,6 +116,15 @@
     this->socket.send_to(asio::buffer(aData), aPeer, 0, error);
   }
 
+  // Has no effect for a host that is not a peer.
+  void SendToPeer(const std::string& aHost, const std::string& aData)
+  {
+    auto peer = this->peers.find(aHost);
+    if (peer != this->peers.end()) {
+      this->SendTo(peer->second, aData);
+    }
+  }
+
   // Sends a request whose response is of use for aWait.
   template<typename Table>
   PendingRequest& Request(const std::string& aHost,
@@ -582,15 +591,11 @@
                            uint64_t aStream,
                            const StreamOrigin& aOrigin)
 {
-  auto peer = this->impl->peers.find(aHost);
-  if (peer == this->impl->peers.end()) {
-    return;
-  }
   fleetwire::StreamBeganT table;
   table.stream = aStream;
   table.service = aOrigin.service;
   table.version = aOrigin.version;
-  this->impl->SendTo(peer->second, this->impl->Encode(table));
+  this->impl->SendToPeer(aHost, this->impl->Encode(table));
 }
 
 void
@@ -612,17 +617,17 @@
 }
 
 bool
-FleetLink::TellStreamEvent(const std::string& aHost,
+FleetLink::TellStreamEvent(const std::vector<std::string>& aHosts,
                            uint64_t aStream,
                            const PlacedEvent& aEvent)
 {
   if (aEvent.event.data.size() > kMaxRecordBytes) {
     return false;
   }
-  auto peer = this->impl->peers.find(aHost);
-  if (peer != this->impl->peers.end()) {
-    this->impl->SendTo(peer->second,
-                       this->impl->Encode(StreamEventToWire(aStream, aEvent)));
+  const std::string data =
+    this->impl->Encode(StreamEventToWire(aStream, aEvent));
+  for (const std::string& host : aHosts) {
+    this->impl->SendToPeer(host, data);
   }
   return true;
 }
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -228,7 +228,7 @@
   const uint64_t attempt = StreamKey("club", "r-2");
   const std::string data("\0\r\n\xff", 4);
   const PlacedEvent event{ attempt, 4, 1, { 6, data } };
-  EXPECT_TRUE(this->two->TellStreamEvent("one", stream, event));
+  EXPECT_TRUE(this->two->TellStreamEvent({ "one" }, stream, event));
   this->RunFor(Millis(20));
   const auto find = [this, stream](uint64_t aLastEvent) {
     StreamEventsAnswer answer;
@@ -255,9 +255,9 @@
     SCOPED_TRACE("what no datagram holds counts as no answer");
     const std::string large(FleetLink::kMaxRecordBytes, 'x');
     EXPECT_TRUE(this->two->TellStreamEvent(
-      "one", stream, { attempt, 4, 2, { 7, large } }));
+      { "one" }, stream, { attempt, 4, 2, { 7, large } }));
     EXPECT_FALSE(this->two->TellStreamEvent(
-      "one", stream, { attempt, 4, 3, { 8, large + "x" } }));
+      { "one" }, stream, { attempt, 4, 3, { 8, large + "x" } }));
     this->RunFor(Millis(20));
     EXPECT_TRUE(find(6).answered);
     EXPECT_FALSE(find(7).answered);
--- a/gateway/stream_event_client.cc
+++ b/gateway/stream_event_client.cc
@@ -78,12 +78,10 @@
     aPassed.attempt, aPassed.after, aPassed.nextPosition, aEvent
   };
   ++aPassed.nextPosition;
-  for (const std::string& host : aPassed.keepers) {
-    if (!this->link.TellStreamEvent(host, aPassed.stream, placed)) {
-      LogWarn("stream_event_too_large",
-              { { "bytes", std::to_string(aEvent.data.size()) } });
-      break;
-    }
+  if (!aPassed.keepers.empty() &&
+      !this->link.TellStreamEvent(aPassed.keepers, aPassed.stream, placed)) {
+    LogWarn("stream_event_too_large",
+            { { "bytes", std::to_string(aEvent.data.size()) } });
   }
   this->events.Put(aPassed.stream, std::move(placed), BootNow());
 }
