--- a/review/15/case.cc
+++ b/review/15/case.cc
@@ -1,7 +1,6 @@
-// A request that crashes each server that begins to run it reaches servers
-// again and again, on a quiet service.
+// After all processes were killed, a kept turn can't be gone on from: the
+// program's budget went with the process that held it.
 #include <cstdio>
-#include <mutex>
 
 #include "review/support-3/deployment.h"
 
@@ -10,123 +9,156 @@
 using review::Deployment;
 using review::HttpMessage;
 using review::Millis;
+using review::Reply;
 using review::Server;
 using review::Socket;
 
-constexpr int kServers = 6;
-// The server is back after some seconds.
-constexpr Millis kDown(2500);
-// Between the attempts at the request.
-constexpr Millis kPoisonInterval(4000);
-constexpr int kPoisonAttempts = 22;
-// Other requests, of another path and organisation.
-constexpr Millis kOtherInterval(5000);
-constexpr Millis kStableWindow(3000);
-constexpr int kMaxLateRetries = 3;
-constexpr char kPoisonPath[] = "/post/crash";
+// Two turns of at most 290 tokens; a turn hands out 30.
+constexpr int kBudget = 580;
+constexpr int kMostOfATurn = 290;
+constexpr int kTokensPerEvent = 10;
+constexpr size_t kPrograms = 6;
+// As final faults on the site's days.
+constexpr Millis kDown(1400);
+constexpr Millis kRecover(12000);
+constexpr Millis kLastPart(4000);
+constexpr Millis kBetweenTries(400);
+constexpr double kServedShare = 0.8;
+constexpr int kOk = 200;
 
 nlohmann::json
 Routes()
 {
-  return { { { "name", "post" },
+  return { { { "name", "ask" },
              { "host", "reports.example" },
-             { "path-prefix", "/post/" },
-             { "kind", "non_idempotent" },
-             { "timeout-ms", 3000 },
-             { "target-latency-ms", 400 },
-             { "priority", 2 },
-             { "service", "app" },
+             { "path-prefix", "/ask/" },
+             { "kind", "streaming" },
+             { "timeout-ms", 4000 },
+             { "target-latency-ms", 200 },
+             { "priority", 1 },
+             { "service", "engines" },
              { "max-attempts", 1 },
+             { "retain-history", true },
+             { "retention-s", 60.0 },
              { "no-auth", false },
-             { "sticky", false } } };
+             { "sticky", true },
+             { "resumable", false },
+             { "target-gap-ms", 150 } } };
 }
 
 std::string
-Post(const std::string& aId, const std::string& aPath, const std::string& aKey)
+Turn(const std::string& aId,
+     const std::string& aProgram,
+     const std::string& aPrevious)
 {
-  return "POST " + aPath +
-         " HTTP/1.1\r\nHost: reports.example"
-         "\r\nX-Request-Id: " +
-         aId + "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer " + aKey +
-         "\r\nContent-Length: 5\r\n\r\norder";
+  return "POST /ask/1 HTTP/1.1\r\nHost: reports.example\r\nX-Request-Id: " +
+         aId +
+         "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer key-1"
+         "\r\nX-Program-Id: " +
+         aProgram + "\r\nX-Session-Id: line-" + aProgram +
+         "\r\nX-Finish-Ms: 60000\r\nX-Token-Budget: " +
+         std::to_string(kBudget) + "\r\nX-Token-Usage: 10," +
+         std::to_string(kMostOfATurn) + "\r\n" +
+         (aPrevious.empty() ? "" : "X-Previous-Turn: " + aPrevious + "\r\n") +
+         "Content-Length: 5\r\n\r\ninput";
 }
 
-// When a server began to run the request.
-struct Crashes
+void
+Answer(Server&, const HttpMessage& aRequest, Socket& aSocket)
 {
-  std::mutex mutex;
-  std::vector<review::TimePoint> times;
+  aSocket.Send(review::StreamAnswer(aRequest, { "one", "two", "three" }));
+}
+
+struct Outcome
+{
+  // Programs whose third turn has reached a server.
+  std::vector<bool> wentOn = std::vector<bool>(kPrograms, false);
+  std::vector<int> tries = std::vector<int>(kPrograms, 0);
+  // First turns of other programs in the last part.
+  int others = 0;
+  int othersServed = 0;
 };
 
+// Tries each program's third turn until it is served, and first turns of other
+// programs beside them, until aEnd.
+Outcome
+GoOn(Deployment& aDeployment, review::TimePoint aEnd)
+{
+  Outcome outcome;
+  for (int round = 0; review::Now() < aEnd; ++round) {
+    for (size_t i = 0; i < kPrograms; ++i) {
+      if (outcome.wentOn[i]) {
+        continue;
+      }
+      const std::string name = "p" + std::to_string(i);
+      ++outcome.tries[i];
+      const Reply reply = aDeployment.Ask(
+        (i + static_cast<size_t>(round)) % 3,
+        Turn(name + "-three-" + std::to_string(round), name, name + "-two"));
+      outcome.wentOn[i] = reply.status == kOk;
+    }
+    const std::string other = "other" + std::to_string(round);
+    const bool last = review::Now() > aEnd - kLastPart;
+    const Reply reply = aDeployment.Ask(static_cast<size_t>(round) % 3,
+                                        Turn(other + "-one", other, ""));
+    outcome.others += last ? 1 : 0;
+    outcome.othersServed += last && reply.status == kOk ? 1 : 0;
+    review::Sleep(kBetweenTries);
+  }
+  return outcome;
+}
+
 int
 Run()
 {
-  Crashes crashes;
   Deployment deployment({ 3, Millis(300000) }, "review/15/record.txt");
-  deployment.Configure(Routes(),
-                       { { { "name", "app" } } },
-                       { { { "name", "club" },
-                           { "api-keys", { "key-1" } },
-                           { "per-s", 100 },
-                           { "burst", 100 } },
-                         { { "name", "guild" },
-                           { "api-keys", { "key-2" } },
-                           { "per-s", 100 },
-                           { "burst", 100 } } });
-  const bool trouble = review::WithTrouble();
-  const auto work = [&crashes, trouble](Server& aServer,
-                                        const HttpMessage& aRequest,
-                                        Socket& aSocket) {
-    if (aRequest.Target() != kPoisonPath) {
-      aSocket.Send(review::PlainAnswer(aRequest, "done"));
-      return;
-    }
-    {
-      const std::lock_guard<std::mutex> lock(crashes.mutex);
-      crashes.times.push_back(review::Now());
-    }
-    if (trouble) {
-      aServer.Crash(kDown);
-      aSocket.Reset();
-    } else {
-      aSocket.Send(review::PlainAnswer(aRequest, "done"));
-    }
-  };
-  for (int i = 0; i < kServers; ++i) {
-    deployment.AddServer("app",
-                         "app-" + std::to_string(i),
-                         i % 2 == 0 ? "zone-a" : "zone-b",
-                         work);
+  deployment.Configure(
+    Routes(),
+    { { { "name", "engines" },
+        { "engine", { { "event-tokens", kTokensPerEvent } } } } },
+    { { { "name", "club" },
+        { "api-keys", { "key-1" } },
+        { "per-s", 100 },
+        { "burst", 100 } } });
+  for (const char* name : { "engine-1", "engine-2", "engine-3" }) {
+    deployment.AddServer("engines", name, "zone-a", Answer);
   }
   if (!deployment.StartGateways()) {
     return 2;
   }
-  std::atomic<bool> ended{ false };
-  std::thread others([&deployment, &ended] {
-    for (int i = 0; !ended; ++i) {
-      deployment.Ask(static_cast<size_t>(i % 3),
-                     Post("other-" + std::to_string(i), "/post/1", "key-2"));
-      review::Sleep(kOtherInterval);
-    }
-  });
   review::Sleep(Millis(3000));
-  for (int i = 0; i < kPoisonAttempts; ++i) {
-    deployment.Ask(static_cast<size_t>(i % 3),
-                   Post("crash-" + std::to_string(i), kPoisonPath, "key-1"));
-    review::Sleep(kPoisonInterval);
+  for (size_t i = 0; i < kPrograms; ++i) {
+    const std::string name = "p" + std::to_string(i);
+    const Reply one = deployment.Ask(i % 3, Turn(name + "-one", name, ""));
+    const Reply two =
+      deployment.Ask(i % 3, Turn(name + "-two", name, name + "-one"));
+    if (one.status != kOk || !one.whole || two.status != kOk || !two.whole) {
+      return 2;
+    }
+  }
+  if (review::WithTrouble() && !deployment.KillAllAndRestart(kDown)) {
+    return 2;
+  }
+  const Outcome outcome = GoOn(deployment, review::Now() + kRecover);
+  if (outcome.othersServed < kServedShare * outcome.others) {
+    return 2;
   }
-  ended = true;
-  others.join();
-  int late = 0;
-  for (size_t i = 3; i < crashes.times.size(); ++i) {
-    late += crashes.times[i] > crashes.times[2] + kStableWindow ? 1 : 0;
+  int lost = 0;
+  for (size_t i = 0; i < kPrograms; ++i) {
+    lost += outcome.wentOn[i] ? 0 : 1;
+    deployment.Log().Line(
+      "p" + std::to_string(i) +
+      (outcome.wentOn[i] ? " went on after " : " reached no server in ") +
+      std::to_string(outcome.tries[i]) + " tries");
   }
   const std::string result =
-    "the request ran " + std::to_string(crashes.times.size()) + " times, " +
-    std::to_string(late) + " times later than 3 s after the third";
+    std::to_string(lost) + " of " + std::to_string(kPrograms) +
+    " kept turns reached no server by recover-s; " +
+    std::to_string(outcome.othersServed) + " of " +
+    std::to_string(outcome.others) + " other turns were served";
   deployment.Log().Line(result);
   printf("%s\n", result.c_str());
-  return trouble && late > kMaxLateRetries ? 1 : 0;
+  return lost > 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/support-3/deployment.cc
+++ b/review/support-3/deployment.cc
@@ -410,6 +410,28 @@
   return ready;
 }
 
+bool
+Deployment::KillAllAndRestart(Millis aDown)
+{
+  for (Gateway& gateway : this->gateways) {
+    ::kill(gateway.process, SIGKILL);
+  }
+  for (Gateway& gateway : this->gateways) {
+    Kill(gateway);
+  }
+  this->record.Line("all gateways are killed");
+  Sleep(aDown);
+  for (Gateway& gateway : this->gateways) {
+    this->Start(gateway, false);
+  }
+  bool ready = true;
+  for (size_t i = 0; i < this->gateways.size(); ++i) {
+    ready = this->AwaitReady(i, kStartLimit) && ready;
+  }
+  this->record.Line(ready ? "all gateways are ready again" : "not all are");
+  return ready;
+}
+
 void
 Deployment::Pause(size_t aGateway)
 {
--- a/review/support-3/deployment.h
+++ b/review/support-3/deployment.h
@@ -160,6 +160,8 @@
   bool StartGateways();
   // SIGKILL, then a new start after aDown as the platform does it.
   bool KillAndRestart(size_t aGateway, Millis aDown);
+  // The same with all gateways at once.
+  bool KillAllAndRestart(Millis aDown);
   void Pause(size_t aGateway);
   void Continue(size_t aGateway);
   // Sends the request on a new connection and waits for the answer.
