--- a/review/15/case.cc
+++ b/review/11/driver.cc
@@ -111,7 +111,7 @@
 int
 Run()
 {
-  Deployment deployment({ 3, Millis(300000) }, "review/15/record.txt");
+  Deployment deployment({ 3, Millis(300000) }, "review/11/record.txt");
   deployment.Configure(
     Routes(),
     { { { "name", "engines" },
--- a/review/12/case.cc
+++ b/review/15/driver.cc
@@ -93,7 +93,7 @@
 int
 Run()
 {
-  Deployment deployment({ 3, kStoreHistory }, "review/12/record.txt");
+  Deployment deployment({ 3, kStoreHistory }, "review/15/record.txt");
   deployment.Configure(
     Routes(),
     { { { "name", "engines" }, { "engine", { { "event-tokens", 10 } } } } },
