A program near its end returns what a turn did not use before the turn ends

Cause: a host gives back what it was granted after 600 ms without a turn or at SIGTERM, and a killed one never. Evidence: the hosts' logs of the case on: budget_grant 290 and 145 accepted for p0, after the kill budget_spent with granted 435, turn_most 290.

Ruled out: turns in flight that count at their most (all had ended whole); a wrong sum after the restart (the log says 435, what was granted); the size of the second grant alone (with 290 and 30 granted, 260 are left, which cover no turn of 290).

Change: a grant ahead is a quarter of what no host holds, and leaves two turns outside. With less outside a program is nearly spent: the home says so with the reservation, and the host that serves the turn writes the return itself, beside the turn's record, and ends the stream when both are in the log. To the home all tokens are used, so they stand in one place. Nothing is taken back from a silent host. Records keep their form; the field of TokensReserved is ignored by the build before.

Why it works: between turns the log knows what each turn of such a program has left, so a kill takes nothing; with more outside, what a kill takes leaves two turns.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -127,6 +127,9 @@
   ReserveStatus status = ReserveStatus::kUnavailable;
   // The turn is the first of its program.
   bool beginsProgram = false;
+  // The peer has to return the turn's unused tokens to the record log before
+  // the turn's client sees its end, and settles the turn as if it used all.
+  bool nearlySpent = false;
 };
 
 // What the owner of an organisation's quota decides about a call.
--- a/fleet/fleet_link.cc
+++ b/fleet/fleet_link.cc
@@ -353,6 +353,7 @@
     table.request = aId;
     table.verdict = static_cast<uint8_t>(aResponse.status);
     table.begins = aResponse.beginsProgram;
+    table.nearly_spent = aResponse.nearlySpent;
     this->SendTo(aTo, this->Encode(table));
   }
 
@@ -393,7 +394,7 @@
       const QuotaAnswer answer =
         this->handlers.onAcquireQuota(aDatagram.host, table.organisation);
       requests.byId[table.request].response =
-        ReserveResponse{ StatusOf(answer), false };
+        ReserveResponse{ StatusOf(answer), false, false };
     }
     if (const auto response = requests.byId[table.request].response) {
       this->SendReserveResponse(this->sender, table.request, *response);
--- a/fleet/fleet_wire_generated.h
+++ b/fleet/fleet_wire_generated.h
@@ -1796,6 +1796,7 @@
   uint64_t request = 0;
   uint8_t verdict = 0;
   bool begins = false;
+  bool nearly_spent = false;
 };
 
 struct TokensReserved FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1805,7 +1806,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
     VT_VERDICT = 6,
-    VT_BEGINS = 8
+    VT_BEGINS = 8,
+    VT_NEARLY_SPENT = 10
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -1816,11 +1818,15 @@
   bool begins() const {
     return GetField<uint8_t>(VT_BEGINS, 0) != 0;
   }
+  bool nearly_spent() const {
+    return GetField<uint8_t>(VT_NEARLY_SPENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
            VerifyField<uint8_t>(verifier, VT_BEGINS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_NEARLY_SPENT, 1) &&
            verifier.EndTable();
   }
   TokensReservedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1841,6 +1847,9 @@
   void add_begins(bool begins) {
     fbb_.AddElement<uint8_t>(TokensReserved::VT_BEGINS, static_cast<uint8_t>(begins), 0);
   }
+  void add_nearly_spent(bool nearly_spent) {
+    fbb_.AddElement<uint8_t>(TokensReserved::VT_NEARLY_SPENT, static_cast<uint8_t>(nearly_spent), 0);
+  }
   explicit TokensReservedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1856,9 +1865,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t request = 0,
     uint8_t verdict = 0,
-    bool begins = false) {
+    bool begins = false,
+    bool nearly_spent = false) {
   TokensReservedBuilder builder_(_fbb);
   builder_.add_request(request);
+  builder_.add_nearly_spent(nearly_spent);
   builder_.add_begins(begins);
   builder_.add_verdict(verdict);
   return builder_.Finish();
@@ -3553,6 +3564,7 @@
   { auto _e = request(); _o->request = _e; }
   { auto _e = verdict(); _o->verdict = _e; }
   { auto _e = begins(); _o->begins = _e; }
+  { auto _e = nearly_spent(); _o->nearly_spent = _e; }
 }
 
 inline flatbuffers::Offset<TokensReserved> TokensReserved::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TokensReservedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3566,11 +3578,13 @@
   auto _request = _o->request;
   auto _verdict = _o->verdict;
   auto _begins = _o->begins;
+  auto _nearly_spent = _o->nearly_spent;
   return tanagerseam::fleetwire::CreateTokensReserved(
       _fbb,
       _request,
       _verdict,
-      _begins);
+      _begins,
+      _nearly_spent);
 }
 
 inline SettleTokensT *SettleTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/fleet/response_wire.cc
+++ b/fleet/response_wire.cc
@@ -27,9 +27,9 @@
   const fleetwire::TokensReservedT* table =
     aResponse == nullptr ? nullptr : aResponse->body.AsTokensReserved();
   if (table == nullptr) {
-    return { ReserveStatus::kNoAnswer, false };
+    return { ReserveStatus::kNoAnswer, false, false };
   }
-  return { StatusFromWire(table->verdict), table->begins };
+  return { StatusFromWire(table->verdict), table->begins, table->nearly_spent };
 }
 
 StreamAnswer
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -33,7 +33,7 @@
     handlers.onReserve =
       [this](const TokenRequest& aRequest, Millis, auto aDone) {
         this->requests.push_back(aRequest);
-        aDone({ this->status, true });
+        aDone({ this->status, true, true });
       };
     handlers.onSettle = [this](const TokenRequest&, int64_t aUsed) {
       this->settledTokens.push_back(aUsed);
@@ -183,6 +183,7 @@
   ASSERT_TRUE(response);
   EXPECT_EQ(response->status, ReserveStatus::kReserved);
   EXPECT_TRUE(response->beginsProgram);
+  EXPECT_TRUE(response->nearlySpent);
   EXPECT_EQ(this->requests.size(), 1u);
   this->two->Settle("one", reservation, 60);
   this->two->Settle("one", reservation, 60);
--- a/gateway/call_flow.cc
+++ b/gateway/call_flow.cc
@@ -134,6 +134,11 @@
   if (this->ended) {
     return;
   }
+  if (this->streamComplete) {
+    this->returningTokens = false;
+    this->FinishStream();
+    return;
+  }
   if (this->IsStreaming()) {
     this->Abort("deadline");
     return;
@@ -329,6 +334,20 @@
   this->End(aCause);
 }
 
+std::optional<TurnReservation>
+CallFlow::TakeReservation()
+{
+  const std::optional<TurnReservation> taken = this->reservation;
+  this->reservation.reset();
+  if (taken && this->usedTokens > taken->request.maxTokens) {
+    LogWarn("turn_over_reservation",
+            this->WithCallIds(
+              { { "reserved", std::to_string(taken->request.maxTokens) },
+                { "tokens", std::to_string(this->usedTokens) } }));
+  }
+  return taken;
+}
+
 void
 CallFlow::End(const char* aOutcome)
 {
@@ -352,16 +371,8 @@
     // The client has a part of it, whose tokens are not known.
     this->usedTokens += this->tokensPerEvent;
   }
-  if (this->reservation) {
-    const int64_t reserved = this->reservation->request.maxTokens;
-    if (this->usedTokens > reserved) {
-      LogWarn(
-        "turn_over_reservation",
-        this->WithCallIds({ { "reserved", std::to_string(reserved) },
-                            { "tokens", std::to_string(this->usedTokens) } }));
-    }
-    this->state.turnBudgets.Settle(*this->reservation, this->usedTokens);
-    this->reservation.reset();
+  if (const auto settled = this->TakeReservation()) {
+    this->state.turnBudgets.Settle(*settled, this->usedTokens);
   }
   if (this->quotaAcquired && this->attempts == 0) {
     this->state.quota.RefundCall(this->organisation->name);
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -153,6 +153,9 @@
   // Writes the turn to the record log if the route keeps history, then finishes
   // the stream; aborts it if the write fails.
   void PersistTurn();
+  // Returns the unused tokens of a program that is nearly spent.
+  void ReturnUnusedTokens();
+  // Ends the stream once the turn is kept and its unused tokens are returned.
   void FinishStream();
 
   // ---- termination
@@ -185,6 +188,8 @@
   void RefuseAsUncertain(const std::string& aDetail);
   // Closes the client's connection without a complete response.
   void Abort(const char* aCause);
+  // The reservation, which the caller settles.
+  std::optional<TurnReservation> TakeReservation();
   // Releases the endpoint, the reserved tokens and unused quota. aOutcome is
   // for logs and metrics.
   void End(const char* aOutcome);
@@ -235,6 +240,10 @@
   // Budget tokens reserved for this turn; reset once settled.
   std::optional<TurnReservation> reservation;
   int64_t usedTokens = 0;
+  // A return of unused tokens is under way.
+  bool returningTokens = false;
+  // The stream is whole, and its turn kept.
+  bool streamComplete = false;
   // Where the stream began that the call resumes; unset for a new stream.
   std::optional<StreamOrigin> origin;
   // Transcript up to the previous turn; null if there is none.
--- a/gateway/call_stream.cc
+++ b/gateway/call_stream.cc
@@ -131,7 +131,9 @@
 void
 CallFlow::PersistTurn()
 {
+  this->ReturnUnusedTokens();
   if (!this->route->retainsHistory) {
+    this->streamComplete = true;
     this->FinishStream();
     return;
   }
@@ -156,6 +158,7 @@
                                 return;
                               }
                               if (aPersisted) {
+                                self->streamComplete = true;
                                 self->FinishStream();
                               } else {
                                 self->Abort("turn_not_kept");
@@ -163,9 +166,29 @@
                             });
 }
 
+// The program may go on after a crash of this host or the budget's owner only
+// if the log knows what the turn has left. Both writes are made at once.
+void
+CallFlow::ReturnUnusedTokens()
+{
+  if (!this->reservation || !this->reservation->nearlySpent) {
+    return;
+  }
+  this->returningTokens = true;
+  this->state.turnBudgets.SettleAndReturn(*this->TakeReservation(),
+                                          this->usedTokens,
+                                          [self = this->shared_from_this()] {
+                                            self->returningTokens = false;
+                                            self->FinishStream();
+                                          });
+}
+
 void
 CallFlow::FinishStream()
 {
+  if (this->ended || this->returningTokens || !this->streamComplete) {
+    return;
+  }
   this->reply->End();
   this->End("answered");
 }
--- a/gateway/turn_budgets.cc
+++ b/gateway/turn_budgets.cc
@@ -144,9 +144,11 @@
     kOwnerTimeout,
     [this, owner, aRequest, aDeadline, reservationId, done = std::move(aDone)](
       const ReserveResponse& aResponse) {
-      const TurnReservation reservation{
-        aRequest, owner, *reservationId, aResponse.beginsProgram
-      };
+      const TurnReservation reservation{ aRequest,
+                                         owner,
+                                         *reservationId,
+                                         aResponse.beginsProgram,
+                                         aResponse.nearlySpent };
       switch (aResponse.status) {
         case ReserveStatus::kReserved:
           done(TurnReservationStatus::kReserved, reservation);
@@ -181,13 +183,14 @@
   if (this->log.IsUnavailable(BootNow()) &&
       !this->budgetService.CanReserveWithoutLog(aRequest.program,
                                                 aRequest.maxTokens)) {
-    aDone(TurnReservationStatus::kUnavailable, { aRequest, "", 0, false });
+    aDone(TurnReservationStatus::kUnavailable,
+          { aRequest, "", 0, false, false });
     return;
   }
   const bool beginsProgram = !aRequest.continuesProgram &&
                              this->budgetService.IsNewProgram(aRequest.program);
   if (beginsProgram && !this->admitProgram(aRequest.organisation)) {
-    aDone(TurnReservationStatus::kOverQuota, { aRequest, "", 0, true });
+    aDone(TurnReservationStatus::kOverQuota, { aRequest, "", 0, true, false });
     return;
   }
   this->budgetService.Reserve(
@@ -196,8 +199,13 @@
     aRequest.maxTokens,
     aUse,
     aDeadline,
-    [aRequest, beginsProgram, done = std::move(aDone)](BudgetVerdict aVerdict) {
-      done(ToReservationStatus(aVerdict), { aRequest, "", 0, beginsProgram });
+    [this, aRequest, beginsProgram, done = std::move(aDone)](
+      BudgetVerdict aVerdict) {
+      const bool nearlySpent =
+        aVerdict == BudgetVerdict::kReserved &&
+        this->budgetService.IsNearlySpent(aRequest.program, aRequest.maxTokens);
+      done(ToReservationStatus(aVerdict),
+           { aRequest, "", 0, beginsProgram, nearlySpent });
     });
 }
 
@@ -212,6 +220,26 @@
     aReservation.owner, aReservation.reservationId, aUsedTokens);
 }
 
+void
+TurnBudgets::SettleAndReturn(const TurnReservation& aReservation,
+                             int64_t aUsedTokens,
+                             std::function<void()> aDone)
+{
+  const TokenRequest& request = aReservation.request;
+  const int64_t unused = request.maxTokens - aUsedTokens;
+  // To whoever made the reservation, all its tokens are used.
+  this->Settle(aReservation, request.maxTokens);
+  if (unused == 0) {
+    aDone();
+    return;
+  }
+  this->budgetService.Return(
+    request.program,
+    request.programBudget,
+    unused,
+    [done = std::move(aDone)](bool /*aReturned*/) { done(); });
+}
+
 void
 TurnBudgets::ReserveForPeer(const TokenRequest& aRequest,
                             Millis aTimeout,
@@ -223,7 +251,9 @@
     BootNow() + std::max(Millis(1), aTimeout - kAnswerMargin),
     [done = std::move(aDone)](TurnReservationStatus aStatus,
                               const TurnReservation& aReservation) {
-      done({ ToReserveStatus(aStatus), aReservation.beginsProgram });
+      done({ ToReserveStatus(aStatus),
+             aReservation.beginsProgram,
+             aReservation.nearlySpent });
     });
 }
 
--- a/gateway/turn_budgets.h
+++ b/gateway/turn_budgets.h
@@ -43,6 +43,9 @@
   uint64_t reservationId = 0;
   // The turn is the first of its program.
   bool beginsProgram = false;
+  // The program is nearly spent: the turn has to return its unused tokens
+  // before its client sees its end.
+  bool nearlySpent = false;
 };
 
 enum class TurnReservationStatus
@@ -89,6 +92,12 @@
                TimePoint aDeadline,
                Callback aDone);
   void Settle(const TurnReservation& aReservation, int64_t aUsedTokens);
+  // The same for a turn of a program that is nearly spent. This host returns
+  // the unused tokens to the log itself, since the owner may crash before it
+  // would. aDone runs once they are returned, or the log did not answer.
+  void SettleAndReturn(const TurnReservation& aReservation,
+                       int64_t aUsedTokens,
+                       std::function<void()> aDone);
   // Handle requests of other hosts for budgets that this host owns.
   void ReserveForPeer(const TokenRequest& aRequest,
                       Millis aTimeout,
--- a/program/budget_log.cc
+++ b/program/budget_log.cc
@@ -45,11 +45,7 @@
                   TimePoint aDeadline,
                   Done aDone)
 {
-  if (!this->IsOld(this->Touch(aPartition))) {
-    this->AppendCurrent(aPartition, std::move(aRecord), aDeadline, aDone);
-    return;
-  }
-  this->Refresh(
+  this->RefreshIfOld(
     aPartition,
     aDeadline,
     [this, aPartition, record = std::move(aRecord), aDeadline, aDone](
@@ -100,6 +96,18 @@
                    });
 }
 
+void
+BudgetLog::RefreshIfOld(const LogPartition& aPartition,
+                        TimePoint aDeadline,
+                        Done aDone)
+{
+  if (!this->IsOld(this->Touch(aPartition))) {
+    aDone(true);
+    return;
+  }
+  this->Refresh(aPartition, aDeadline, std::move(aDone));
+}
+
 void
 BudgetLog::Refresh(const LogPartition& aPartition,
                    TimePoint aDeadline,
--- a/program/budget_log.h
+++ b/program/budget_log.h
@@ -4,6 +4,7 @@
 //   BudgetLog budgetLog(log, settings, onApplied);
 //   budgetLog.Append(partition, record, deadline, [](bool aApplied) { ... });
 //   budgetLog.Refresh(partition, deadline, [](bool aCurrent) { ... });
+//   budgetLog.RefreshIfOld(partition, deadline, [](bool aCurrent) { ... });
 //
 // A record states the sum that this host knows, so a partition that was not
 // read lately is read before a record is appended to it.
@@ -42,6 +43,11 @@
               Done aDone);
   // Applies the records that others have written.
   void Refresh(const LogPartition& aPartition, TimePoint aDeadline, Done aDone);
+  // The same for a partition that was not read lately. For another one aDone
+  // runs before this returns.
+  void RefreshIfOld(const LogPartition& aPartition,
+                    TimePoint aDeadline,
+                    Done aDone);
   // Drops partitions not in use for aIdle, and what ledgers need not know any
   // more.
   void Forget(Millis aIdle, Millis aKeepFor, TimePoint aNow);
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -72,10 +72,7 @@
     const bool noGrantRejected = program.rejectedGrantTokens == 0;
     if (runningLow && noGrantRejected && !program.grantPending &&
         aMode == GrantMode::kBatch) {
-      this->RequestGrant(
-        aProgram,
-        std::max(aReservedTokens, this->MinGrantTokens(program)),
-        program.lastUsedAt + kBatchGrantTimeout);
+      this->RequestGrantAhead(aProgram, aReservedTokens);
     }
     aDone(BudgetVerdict::kReserved);
     return;
@@ -119,22 +116,88 @@
   // A grant for the new amount may fit where the last one did not.
   program.rejectedGrantTokens = 0;
   this->ServeWaiters(aProgram);
+  const bool keepsNone =
+    program.mode == GrantMode::kSingleTurn ||
+    (this->IsNearlySpent(aProgram, aReservedTokens) && !this->log.IsFailing());
   const bool due =
-    program.availableTokens < 0 ||
-    (program.mode == GrantMode::kSingleTurn && program.availableTokens > 0);
+    program.availableTokens < 0 || (keepsNone && program.availableTokens > 0);
   const bool returnNow = due && program.waiters.empty() &&
-                         !program.grantPending && !program.pendingReturn;
+                         !program.grantPending &&
+                         program.pendingReturns.empty();
   if (returnNow) {
     this->ReturnAvailable(aProgram, program);
   }
 }
 
 int64_t
-BudgetService::MinGrantTokens(const Program& aProgram) const
+BudgetService::OutsideTokens(const std::string& aProgram, int64_t aBudget)
 {
-  return aProgram.mode == GrantMode::kSingleTurn
-           ? 0
-           : aProgram.budget / this->settings.grantDivisor;
+  const LogPartition partition = this->budgetLog->PartitionOf(aProgram);
+  return aBudget -
+         this->budgetLog->Ledger(partition).OutstandingTokens(aProgram);
+}
+
+bool
+BudgetService::IsNearlySpent(const std::string& aProgram, int64_t aTurnTokens)
+{
+  const int64_t kept = kTurnsKeptOutside * aTurnTokens;
+  return this->OutsideTokens(aProgram, this->programs[aProgram].budget) < kept;
+}
+
+bool
+BudgetService::LeavesEnough(const std::string& aProgram,
+                            const Program& aState,
+                            int64_t aTokens,
+                            int64_t aTurnTokens)
+{
+  return this->OutsideTokens(aProgram, aState.budget) - aTokens >=
+         kTurnsKeptOutside * aTurnTokens;
+}
+
+int64_t
+BudgetService::MinGrantTokens(const std::string& aProgram,
+                              const Program& aState,
+                              int64_t aTurnTokens)
+{
+  if (aState.mode == GrantMode::kSingleTurn) {
+    return 0;
+  }
+  const int64_t tokens =
+    this->OutsideTokens(aProgram, aState.budget) / this->settings.grantDivisor;
+  return this->LeavesEnough(aProgram, aState, tokens, aTurnTokens) ? tokens : 0;
+}
+
+void
+BudgetService::RequestGrantAhead(const std::string& aProgram,
+                                 int64_t aTurnTokens)
+{
+  const Program& program = this->programs[aProgram];
+  const int64_t tokens =
+    std::max(aTurnTokens, this->MinGrantTokens(aProgram, program, aTurnTokens));
+  if (this->LeavesEnough(aProgram, program, tokens, aTurnTokens)) {
+    this->RequestGrant(
+      aProgram, tokens, program.lastUsedAt + kBatchGrantTimeout);
+  }
+}
+
+int64_t
+BudgetService::TokensForWaiters(const std::string& aProgram,
+                                const Program& aState)
+{
+  int64_t needed = 0;
+  for (const Waiter& waiter : aState.waiters) {
+    needed += waiter.reservedTokens;
+  }
+  const int64_t ofFirst = aState.waiters.front().reservedTokens;
+  const int64_t tokens =
+    std::max(needed - aState.availableTokens,
+             this->MinGrantTokens(aProgram, aState, ofFirst));
+  // A grant of the rejected size would be rejected again, so request only what
+  // the first waiter lacks.
+  if (aState.rejectedGrantTokens > 0 && tokens >= aState.rejectedGrantTokens) {
+    return std::max<int64_t>(1, ofFirst - aState.availableTokens);
+  }
+  return tokens;
 }
 
 void
@@ -145,25 +208,29 @@
       program.waiters.empty()) {
     return;
   }
-  // The turn may fit once this host's own return is in the log.
-  if (program.pendingReturn) {
+  // The turn may fit once this host's own returns are in the log.
+  if (!program.pendingReturns.empty()) {
     this->AppendReturn(aProgram);
     return;
   }
-  int64_t needed = 0;
-  for (const Waiter& waiter : program.waiters) {
-    needed += waiter.reservedTokens;
-  }
-  int64_t tokens =
-    std::max(needed - program.availableTokens, this->MinGrantTokens(program));
-  // A grant of the rejected size would be rejected again, so request only what
-  // the first waiter lacks.
-  if (program.rejectedGrantTokens > 0 &&
-      tokens >= program.rejectedGrantTokens) {
-    tokens = std::max<int64_t>(
-      1, program.waiters.front().reservedTokens - program.availableTokens);
-  }
-  this->RequestGrant(aProgram, tokens, program.waiters.front().deadline);
+  program.grantPending = true;
+  const TimePoint deadline = program.waiters.front().deadline;
+  this->budgetLog->RefreshIfOld(
+    this->budgetLog->PartitionOf(aProgram),
+    deadline,
+    [this, aProgram, deadline](bool aCurrent) {
+      if (!aCurrent) {
+        this->OnGrantUnanswered(aProgram);
+        return;
+      }
+      Program& current = this->programs[aProgram];
+      current.grantPending = false;
+      // Tokens of a turn that has ended may have served them.
+      if (!current.waiters.empty()) {
+        this->RequestGrant(
+          aProgram, this->TokensForWaiters(aProgram, current), deadline);
+      }
+    });
 }
 
 void
@@ -186,14 +253,19 @@
                           [this, aProgram, record](bool aApplied) {
                             if (aApplied) {
                               this->OnGrantDecided(aProgram, record);
-                              return;
+                            } else {
+                              this->OnGrantUnanswered(aProgram);
                             }
-                            this->programs[aProgram].grantPending = false;
-                            this->FailExpiredWaiters(
-                              aProgram, BudgetVerdict::kUnavailable);
                           });
 }
 
+void
+BudgetService::OnGrantUnanswered(const std::string& aProgram)
+{
+  this->programs[aProgram].grantPending = false;
+  this->FailExpiredWaiters(aProgram, BudgetVerdict::kUnavailable);
+}
+
 void
 BudgetService::OnRecordApplied(const BudgetRecord& aRecord, bool aAccepted)
 {
@@ -285,47 +357,88 @@
 
 void
 BudgetService::ReturnAvailable(const std::string& aProgram, Program& aState)
+{
+  const int64_t tokens = aState.availableTokens;
+  aState.availableTokens = 0;
+  this->Return(aProgram, aState.budget, tokens, nullptr);
+}
+
+void
+BudgetService::Return(const std::string& aProgram,
+                      int64_t aBudget,
+                      int64_t aTokens,
+                      std::function<void(bool)> aDone)
 {
   BudgetRecord record;
   record.kind = BudgetRecordKind::kReturn;
   record.id = this->NextId();
   record.program = aProgram;
   record.holder = this->settings.incarnation;
-  record.tokens = aState.availableTokens;
-  record.budget = aState.budget;
-  aState.availableTokens = 0;
+  record.tokens = aTokens;
+  record.budget = aBudget;
   LogInfo("budget_return",
           { { "program", aProgram },
             { "id", record.id },
             { "tokens", std::to_string(record.tokens) } });
-  aState.pendingReturn = std::move(record);
+  Program& program = this->programs[aProgram];
+  program.lastUsedAt = BootNow();
+  program.pendingReturns.push_back({ std::move(record), std::move(aDone) });
   this->AppendReturn(aProgram);
 }
 
 void
 BudgetService::AppendReturn(const std::string& aProgram)
 {
-  Program& state = this->programs[aProgram];
-  state.returnInFlight = true;
-  this->budgetLog->Append(
-    this->budgetLog->PartitionOf(aProgram),
-    *state.pendingReturn,
-    BootNow() + kReturnTimeout,
-    [this, aProgram](bool aApplied) {
-      Program& program = this->programs[aProgram];
-      program.returnInFlight = false;
-      if (!aApplied) {
-        LogWarn("budget_not_returned", { { "program", aProgram } });
-        std::deque<Waiter> failed;
-        failed.swap(program.waiters);
-        for (Waiter& waiter : failed) {
-          waiter.done(BudgetVerdict::kUnavailable);
-        }
-        return;
-      }
-      program.pendingReturn.reset();
-      this->RequestGrantForWaiters(aProgram);
-    });
+  Program& program = this->programs[aProgram];
+  if (program.returnInFlight || program.pendingReturns.empty()) {
+    return;
+  }
+  program.returnInFlight = true;
+  this->budgetLog->Append(this->budgetLog->PartitionOf(aProgram),
+                          program.pendingReturns.front().record,
+                          BootNow() + kReturnTimeout,
+                          [this, aProgram](bool aApplied) {
+                            this->OnReturnAppended(aProgram, aApplied);
+                          });
+}
+
+void
+BudgetService::OnReturnAppended(const std::string& aProgram, bool aApplied)
+{
+  Program& program = this->programs[aProgram];
+  program.returnInFlight = false;
+  if (!aApplied) {
+    this->OnReturnsUnanswered(aProgram, program);
+    return;
+  }
+  const PendingReturn returned = std::move(program.pendingReturns.front());
+  program.pendingReturns.pop_front();
+  this->AppendReturn(aProgram);
+  this->RequestGrantForWaiters(aProgram);
+  if (returned.done) {
+    returned.done(true);
+  }
+}
+
+void
+BudgetService::OnReturnsUnanswered(const std::string& aProgram, Program& aState)
+{
+  LogWarn("budget_not_returned", { { "program", aProgram } });
+  std::deque<Waiter> failed;
+  failed.swap(aState.waiters);
+  std::vector<std::function<void(bool)>> unanswered;
+  for (PendingReturn& pending : aState.pendingReturns) {
+    if (pending.done) {
+      unanswered.push_back(std::move(pending.done));
+      pending.done = nullptr;
+    }
+  }
+  for (Waiter& waiter : failed) {
+    waiter.done(BudgetVerdict::kUnavailable);
+  }
+  for (const auto& done : unanswered) {
+    done(false);
+  }
 }
 
 bool
@@ -343,14 +456,14 @@
     const bool inactive = IsInactive(program);
     const auto idle = aNow - program.lastUsedAt;
     const bool logAvailable = !this->log.IsUnavailable(aNow);
-    if (inactive && logAvailable && program.pendingReturn) {
+    if (inactive && logAvailable && !program.pendingReturns.empty()) {
       this->AppendReturn(it->first);
     } else if (inactive && !this->log.IsFailing() && idle > kIdleBeforeReturn &&
                program.availableTokens != 0) {
       this->ReturnAvailable(it->first, program);
     }
     const bool evict = inactive && program.availableTokens == 0 &&
-                       !program.pendingReturn && idle > kEvictAfterIdle;
+                       program.pendingReturns.empty() && idle > kEvictAfterIdle;
     it = evict ? this->programs.erase(it) : std::next(it);
   }
   for (auto it = this->uncreditedGrants.begin();
@@ -371,7 +484,7 @@
 BudgetService::ReturnUnused()
 {
   for (auto& entry : this->programs) {
-    if (entry.second.availableTokens != 0 && !entry.second.pendingReturn) {
+    if (entry.second.availableTokens != 0) {
       this->ReturnAvailable(entry.first, entry.second);
     }
   }
--- a/program/program.h
+++ b/program/program.h
@@ -27,8 +27,14 @@
 // from them without further appends. Tokens left unused for kIdleBeforeReturn
 // are returned, unless the log is failing: then they are kept, since the
 // program can use nothing else. Invariant: tokens used on all hosts <= accepted
-// grants - returned tokens
-// <= budget. Unused tokens held by a host that crashes are lost to the program.
+// grants - returned tokens <= budget.
+//
+// Nobody can tell which tokens of a crashed host were used, so they are lost to
+// the program. While kTurnsKeptOutside turns are not granted to any host, that
+// ends no program. A grant for more than the waiting turns leaves that much.
+// Once there is less, a program is nearly spent: each turn returns what it did
+// not use before its client sees its end, so that a crash costs only the turns
+// that it breaks off.
 //
 // History. A turn is a record in the partition of its id, or in one of two
 // fallback partitions if that one can't be written. The record contains the
@@ -157,7 +163,8 @@
   std::string incarnation;
   PartitionLayout budgets{ "budgets-", 12, 12 };
   PartitionLayout turns{ "turns-", 80, 12 };
-  // A kBatch grant requests at least 1/grantDivisor of the budget.
+  // A kBatch grant requests at least 1/grantDivisor of the tokens that are not
+  // granted, as long as enough of them are left.
   int64_t grantDivisor = 4;
   size_t maxHistoryCacheBytes = 24u << 20;
   // How long the log keeps a record.
@@ -172,6 +179,8 @@
   // Programs are evicted from memory after this time without use, partitions
   // after twice this time.
   static constexpr Millis kEvictAfterIdle{ 120000 };
+  // One may be broken off by a crash, and the program goes on with the other.
+  static constexpr int64_t kTurnsKeptOutside = 2;
 
   using Callback = std::function<void(BudgetVerdict)>;
 
@@ -199,15 +208,23 @@
   // True if this host has no turn of the program in flight or waiting and has
   // not served one since it last evicted the program.
   bool IsNewProgram(const std::string& aProgram) const;
+  // True if fewer than kTurnsKeptOutside turns of aTurnTokens are not granted.
+  bool IsNearlySpent(const std::string& aProgram, int64_t aTurnTokens);
   // Ends a reservation and makes its unused tokens available again. Tokens used
   // beyond it are charged to the program as well.
   void Settle(const std::string& aProgram,
               int64_t aReservedTokens,
               int64_t aUsedTokens);
+  // Returns unused tokens of a reservation, which may be one of another host.
+  // The reservation has to be settled as if they were used. aDone(false): the
+  // return is not acknowledged; it is resent until it is.
+  void Return(const std::string& aProgram,
+              int64_t aBudget,
+              int64_t aTokens,
+              std::function<void(bool)> aDone);
   // Returns idle tokens and evicts unused state; call a few times a second.
   void Tick(TimePoint aNow);
-  // Returns the available tokens of all programs without a pending return; for
-  // process shutdown.
+  // Returns the available tokens of all programs; for process shutdown.
   void ReturnUnused();
 
 private:
@@ -217,6 +234,14 @@
     TimePoint deadline;
     Callback done;
   };
+  // A return whose append is not acknowledged yet. The same record is resent
+  // until it is, since duplicates change nothing.
+  struct PendingReturn
+  {
+    BudgetRecord record;
+    // Empty if nobody waits for the acknowledgement.
+    std::function<void(bool)> done;
+  };
   struct Program
   {
     int64_t budget = 0;
@@ -226,9 +251,8 @@
     int turnsInFlight = 0;
     bool servedTurn = false;
     bool grantPending = false;
-    // A return whose append is not acknowledged yet. The same record is resent
-    // until it is, since duplicates change nothing.
-    std::optional<BudgetRecord> pendingReturn;
+    // Appended one after the other.
+    std::deque<PendingReturn> pendingReturns;
     bool returnInFlight = false;
     GrantMode mode = GrantMode::kBatch;
     // Size of the last rejected grant; 0 after a settlement or a return.
@@ -236,13 +260,27 @@
     TimePoint lastUsedAt{};
     std::deque<Waiter> waiters;
   };
+  // Tokens of the budget that are not granted, as far as this host knows.
+  int64_t OutsideTokens(const std::string& aProgram, int64_t aBudget);
+  // True if a grant of aTokens leaves enough outside for a crash.
+  bool LeavesEnough(const std::string& aProgram,
+                    const Program& aState,
+                    int64_t aTokens,
+                    int64_t aTurnTokens);
   // Smallest grant to request, even if the waiting turns need less.
-  int64_t MinGrantTokens(const Program& aProgram) const;
+  int64_t MinGrantTokens(const std::string& aProgram,
+                         const Program& aState,
+                         int64_t aTurnTokens);
+  // Requests a grant for later turns, after one of aTurnTokens.
+  void RequestGrantAhead(const std::string& aProgram, int64_t aTurnTokens);
+  // The size of a grant that covers the waiters.
+  int64_t TokensForWaiters(const std::string& aProgram, const Program& aState);
   // Appends a grant record; OnGrantDecided follows once its verdict is known.
   void RequestGrant(const std::string& aProgram,
                     int64_t aTokens,
                     TimePoint aDeadline);
   void OnGrantDecided(const std::string& aProgram, const BudgetRecord& aRecord);
+  void OnGrantUnanswered(const std::string& aProgram);
   // A record was applied to a ledger for the first time. Credits grants of this
   // host.
   void OnRecordApplied(const BudgetRecord& aRecord, bool aAccepted);
@@ -253,9 +291,13 @@
   // Requests a grant that covers the waiters, or first resends a pending
   // return. Does nothing while a grant or return is in flight.
   void RequestGrantForWaiters(const std::string& aProgram);
-  // Creates a return record for all available tokens and appends it.
+  // Returns all available tokens.
   void ReturnAvailable(const std::string& aProgram, Program& aState);
+  // Appends the oldest pending return, unless one is in flight.
   void AppendReturn(const std::string& aProgram);
+  void OnReturnAppended(const std::string& aProgram, bool aApplied);
+  // Fails what waits for a pending return; Tick resends the returns.
+  static void OnReturnsUnanswered(const std::string& aProgram, Program& aState);
   // True if the program has no turn and no record under way.
   static bool IsInactive(const Program& aProgram);
   std::string NextId();
