A grant whose answer was lost is looked for and returned

Cause: OnGrantUnanswered forgets the request; only a reading that happens to come credits the grant.

Change: such a grant is looked for by readings of its partition after 0.5 s, 1 s, 2 s and so on for a minute (an append may take effect seconds later); once credited it is returned as any idle tokens. Cost: readings after failed grants only.

Test: program_test GrantWithoutAnswerIsFoundAndReturned, red before (the second host gets no third turn), passes now; BudgetServiceTest 11 of 11.

--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -7,13 +7,15 @@
 
 namespace {
 
-// Grants without an answer are looked for this long: an append may take effect
-// seconds later.
+// Grants without an answer are looked for this long, less and less often: an
+// append may take effect seconds later.
 constexpr Millis kMaxAppendDelay(60000);
 constexpr Millis kForgetInterval(10000);
 
 // For one append of a return; Tick starts further ones.
 constexpr Millis kReturnTimeout(600);
+// For one reading.
+constexpr Millis kSearchTimeout(600);
 // For grants that are requested before a turn needs them.
 constexpr Millis kBatchGrantTimeout(2000);
 
@@ -246,7 +248,7 @@
   record.holder = this->settings.incarnation;
   record.tokens = aTokens;
   record.budget = program.budget;
-  this->uncreditedGrants[record.id] = BootNow();
+  this->uncreditedGrants[record.id] = { aProgram, BootNow() };
   this->budgetLog->Append(this->budgetLog->PartitionOf(aProgram),
                           record,
                           aDeadline,
@@ -254,6 +256,8 @@
                             if (aApplied) {
                               this->OnGrantDecided(aProgram, record);
                             } else {
+                              this->uncreditedGrants[record.id].searchAt =
+                                BootNow();
                               this->OnGrantUnanswered(aProgram);
                             }
                           });
@@ -441,6 +445,25 @@
   }
 }
 
+void
+BudgetService::SearchUnansweredGrants(TimePoint aNow)
+{
+  std::set<LogPartition> due;
+  for (auto& entry : this->uncreditedGrants) {
+    UncreditedGrant& grant = entry.second;
+    if (grant.searchAt == TimePoint{} || grant.searchAt > aNow) {
+      continue;
+    }
+    grant.searchAt = aNow + grant.searchInterval;
+    grant.searchInterval *= 2;
+    due.insert(this->budgetLog->PartitionOf(grant.program));
+  }
+  for (const LogPartition& partition : due) {
+    this->budgetLog->Refresh(
+      partition, aNow + kSearchTimeout, [](bool /*aCurrent*/) {});
+  }
+}
+
 bool
 BudgetService::IsInactive(const Program& aProgram)
 {
@@ -468,9 +491,12 @@
   }
   for (auto it = this->uncreditedGrants.begin();
        it != this->uncreditedGrants.end();) {
-    const bool lost = aNow - it->second > kMaxAppendDelay;
+    const bool lost = aNow - it->second.requestedAt > kMaxAppendDelay;
     it = lost ? this->uncreditedGrants.erase(it) : std::next(it);
   }
+  if (!this->log.IsUnavailable(aNow)) {
+    this->SearchUnansweredGrants(aNow);
+  }
   if (aNow >= this->forgetAt) {
     this->forgetAt = aNow + kForgetInterval;
     this->budgetLog->Forget(2 * kEvictAfterIdle, this->keepSumsFor, aNow);
--- a/program/program.h
+++ b/program/program.h
@@ -242,6 +242,14 @@
     // Empty if nobody waits for the acknowledgement.
     std::function<void(bool)> done;
   };
+  struct UncreditedGrant
+  {
+    std::string program;
+    TimePoint requestedAt{};
+    // When the log is read for it; unset while its append is under way.
+    TimePoint searchAt{};
+    Millis searchInterval{ 500 };
+  };
   struct Program
   {
     int64_t budget = 0;
@@ -281,6 +289,9 @@
                     TimePoint aDeadline);
   void OnGrantDecided(const std::string& aProgram, const BudgetRecord& aRecord);
   void OnGrantUnanswered(const std::string& aProgram);
+  // Reads the log for grants that got no answer: the log may have accepted them
+  // all the same, and then their tokens are unused.
+  void SearchUnansweredGrants(TimePoint aNow);
   // A record was applied to a ledger for the first time. Credits grants of this
   // host.
   void OnRecordApplied(const BudgetRecord& aRecord, bool aAccepted);
@@ -305,9 +316,9 @@
   RetryingLog& log;
   ProgramSettings settings;
   std::unordered_map<std::string, Program> programs;
-  // Grants of this host that were not credited yet, and when they were
-  // requested. One that is read again later counts nothing.
-  std::unordered_map<std::string, TimePoint> uncreditedGrants;
+  // Grants of this host that were not credited yet, by id. One that is read
+  // again later counts nothing.
+  std::unordered_map<std::string, UncreditedGrant> uncreditedGrants;
   std::unique_ptr<BudgetLog> budgetLog;
   std::unique_ptr<BudgetCheckpoints> checkpoints;
   // Sums of programs that were not in use for longer are given up.
--- a/program/testing/budget_test.cc
+++ b/program/testing/budget_test.cc
@@ -135,6 +135,25 @@
   EXPECT_EQ(this->Reserve(this->one), BudgetVerdict::kBudgetExhausted);
 }
 
+// Guards against tokens that nobody holds: the log accepted a grant whose
+// answer was lost, and the host that asked for it gets no further turn.
+TEST_F(BudgetServiceTest, GrantWithoutAnswerIsFoundAndReturned)
+{
+  this->log.lostAcks = 1;
+  this->log.downAfterLostAcks = true;
+  EXPECT_EQ(this->Reserve(this->one), BudgetVerdict::kUnavailable);
+  this->log.down = false;
+  std::this_thread::sleep_for(BudgetService::kIdleBeforeReturn + Millis(50));
+  for (int i = 0; i < 2; ++i) {
+    this->one.service.Tick(BootNow());
+    this->Run();
+  }
+  for (int i = 0; i < kBudget / kTurnTokens; ++i) {
+    EXPECT_EQ(this->Reserve(this->two, GrantMode::kSingleTurn),
+              BudgetVerdict::kReserved);
+  }
+}
+
 TEST_F(BudgetServiceTest, ReservesNothingWithoutLog)
 {
   this->log.down = true;
--- a/program/testing/memory_log.h
+++ b/program/testing/memory_log.h
@@ -43,6 +43,7 @@
     const int64_t offset = static_cast<int64_t>(records.size()) - 1;
     if (this->lostAcks > 0) {
       --this->lostAcks;
+      this->down = this->down || this->downAfterLostAcks;
       this->PostAfter(aTimeout, [aDone] { aDone(LogFault::kNoAnswer); });
       return;
     }
@@ -104,6 +105,8 @@
   std::vector<LogPartition> unavailablePartitions;
   // Number of next appends that take effect but are never acknowledged.
   int lostAcks = 0;
+  // The log is down from the first of them on.
+  bool downAfterLostAcks = false;
   // Number of next pages that hold none of their records.
   int pagesCutShort = 0;
   // Records that are older can't be read any more.
