A broken connection asks its endpoint whether it has crashed

Cause: a break counts as a crash only once a connection to the incarnation is refused, and only calls made connections. On a quiet service none came before the endpoint was back.

Ruled out: reports between hosts (one host alone fails like three); a success or the time that cuts the chain (none succeeds; 4 s against a memory of 60 s); breaks that are not recorded (asking alone, and nothing else, mends it).

Change: 100 ms after a break the host that saw it connects to the endpoint (CheckListening). A refusal confirms the crash, as that of a call did. Breaks of one incarnation within half a second share a question.

Why it works: the evidence no longer depends on traffic. What a crash is, and how many make a quarantine, stays, so calls on a busy service are treated as before.

--- a/gateway/call_attempt.cc
+++ b/gateway/call_attempt.cc
@@ -277,6 +277,7 @@
       quarantine.OnBroken(
         { name, this->Incarnation(), this->sentAtMillis, WallMillis() });
     }
+    this->CheckCrash();
   } else if (aOutcome.error == EventError::kNone &&
              !this->relay->Head().notExecuted && !quarantine.Empty()) {
     quarantine.OnSucceeded(this->Digest(), this->sentAtMillis);
@@ -284,6 +285,17 @@
   }
 }
 
+void
+CallFlow::CheckCrash()
+{
+  const EndpointEntry* endpoint = this->state.endpoints.Find(this->endpointId);
+  const auto address =
+    endpoint == nullptr ? std::nullopt : ParseHostPort(endpoint->address);
+  if (address) {
+    this->state.crashChecks->OnBroken(this->Incarnation(), *address);
+  }
+}
+
 bool
 CallFlow::CanRetry() const
 {
--- a/gateway/call_flow.h
+++ b/gateway/call_flow.h
@@ -124,6 +124,8 @@
   void EndAttempt(AttemptResult aEnd);
   // Tells the quarantine how an attempt ended.
   void RecordForQuarantine(const EventOutcome& aOutcome);
+  // Finds out whether the endpoint crashed, whose connection broke.
+  void CheckCrash();
   // The incarnation of the endpoint to which the call was sent last.
   std::string Incarnation() const;
   // The endpoint certainly did not execute the call: retries it, or refuses it
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -92,6 +92,11 @@
                   return this->quota.AdmitProgram(aOrganisation, BootNow());
                 })
   , history(this->persistentLog, MakeProgramSettings(this->settings))
+  , crashChecks(std::make_shared<CrashChecks>(
+      aDependencies.io,
+      [this](const std::string& aIncarnation) {
+        this->quarantine.OnEndpointDown(aIncarnation, WallMillis());
+      }))
   , recordPeers(this->settings, aDependencies.link, this->peers, this->members)
   , recordRelay(aDependencies.io,
                 this->persistentLog,
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "fleet/member_table.h"
 #include "gateway/active_calls.h"
 #include "gateway/connection_policy.h"
+#include "gateway/crash_checks.h"
 #include "gateway/fleet_record_peers.h"
 #include "gateway/gateway.h"
 #include "gateway/outgoing_bytes.h"
@@ -143,6 +144,7 @@
   PeerTable peers;
   ConnectionPolicy connections;
   CallQuarantine quarantine;
+  const std::shared_ptr<CrashChecks> crashChecks;
   MemberTable members;
   FleetRecordPeers recordPeers;
   RecordRelay recordRelay;
--- a/gateway/testing/gateway_quarantine_test.cc
+++ b/gateway/testing/gateway_quarantine_test.cc
@@ -115,6 +115,99 @@
   }
 }
 
+// Engines that are back, as new incarnations, before any other call comes.
+class QuietServiceTest : public GatewayQuarantineTest
+{
+protected:
+  // Until crashes were asked for, and hosts have told each other.
+  static constexpr Millis kPause{ 400 };
+  static constexpr int kManyAttempts = 8;
+
+  void RestartCrashedEngines(const std::vector<GatewayHost*>& aHosts)
+  {
+    for (size_t i = 0; i < this->engines.size(); ++i) {
+      if (!this->engines[i]->crashed) {
+        continue;
+      }
+      ++this->crashes;
+      this->engines[i] = std::make_unique<RawEndpoint>(
+        this->io, [this](const std::string& aRequest) {
+          return this->Respond(aRequest);
+        });
+      for (GatewayHost* each : aHosts) {
+        this->AddEngine(*each, i);
+      }
+    }
+  }
+
+  void AddEngine(GatewayHost& aHost, size_t aEngine)
+  {
+    EndpointEntry entry;
+    entry.id = "e-" + std::to_string(aEngine);
+    entry.service = "engines";
+    entry.address = this->engines[aEngine]->Address();
+    entry.zone = "zone-a";
+    entry.slots = 4;
+    entry.startedAtMillis = WallMillis();
+    aHost.gateway.PutEndpoint(entry);
+    aHost.gateway.ConfirmEndpoints(BootNow());
+  }
+
+  // Sends the call to the hosts in turn until it is refused for crashing
+  // engines. False if none refuses it.
+  bool IsRefusedInTurn(const std::vector<GatewayHost*>& aHosts)
+  {
+    for (size_t i = 0; i < kManyAttempts; ++i) {
+      const std::string id = "t-" + std::to_string(this->nextId++);
+      const std::string response = this->SendAndReceive(
+        *aHosts[i % aHosts.size()], this->TurnRequest(id, "", "fatal", 100000));
+      if (response.find("call_quarantined") != std::string::npos) {
+        return true;
+      }
+      this->RunFor(kPause);
+      this->RestartCrashedEngines(aHosts);
+    }
+    return false;
+  }
+
+  int crashes = 0;
+};
+
+// Guards against a call that crashes endpoints for good on a quiet service,
+// where no other call is refused a connection (review/14).
+TEST_F(QuietServiceTest, RefusesACallThatCrashedThreeEngines)
+{
+  EXPECT_TRUE(this->IsRefusedInTurn({ &this->host }));
+  EXPECT_EQ(this->crashes, 3);
+  EXPECT_EQ(StatusOf(this->AskElsewhere()), 200);
+}
+
+// Guards against a call that is counted at each host alone.
+TEST_F(QuietServiceTest, RefusesACallWhoseCrashesThreeHostsHaveSeen)
+{
+  GatewayHost second(this->io, this->log, "host-2");
+  GatewayHost third(this->io, this->log, "host-3");
+  const std::vector<GatewayHost*> hosts = { &this->host, &second, &third };
+  for (GatewayHost* each : hosts) {
+    each->ApplyCatalog();
+    for (size_t i = 0; i < this->engines.size(); ++i) {
+      this->AddEngine(*each, i);
+    }
+    each->gateway.PutMember(this->host.Member("host-1"), false);
+    each->gateway.PutMember(second.Member("host-2"), false);
+    each->gateway.PutMember(third.Member("host-3"), false);
+  }
+  this->ExchangeReports();
+  EXPECT_TRUE(this->IsRefusedInTurn(hosts));
+  EXPECT_EQ(this->crashes, 3);
+}
+
+TEST_F(QuietServiceTest, RefusesNoCallWhoseResponsesAreCut)
+{
+  this->enginesCrash = false;
+  EXPECT_FALSE(this->IsRefusedInTurn({ &this->host }));
+}
+
 TEST_F(GatewayQuarantineTest, RefusesNoCallWhoseResponsesAreCut)
 {
   this->enginesCrash = false;
