A turn that outlasts its record is also kept under a key

Cause: nothing makes the store's retention longer than the route's. After it a turn is only in the caches of hosts, and FindInCandidate takes "not in what is left" for "never was".

Ruled out: the turn was never written (another host finds it before); the cache forgets too soon (120 s); a reading that stops early (later records of the partition are found).

Change: where the log keeps records for less time than the route keeps the turn, the turn is also written to a keyed topic, which forgets nothing by itself, beside its record and before its end. A look-up goes there if a partition has forgotten records, and answers 503 while it can't be read. Records keep their form.

Why it works: from the turn's end on it stands where it doesn't go before its time, and no host is needed for that.

--- a/gateway/gateway.cc
+++ b/gateway/gateway.cc
@@ -59,6 +59,7 @@
   {
     const TimePoint now = BootNow();
     this->state.budgets.Tick(now);
+    this->state.history.Tick(now);
     this->ExpireMembers(now);
     HostReport hostReport;
     hostReport.storeUnavailable = this->state.StoreUnavailable(now) ||
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -39,6 +39,7 @@
     aSettings.host + "." + std::to_string(aSettings.startTime);
   settings.budgets.partitionsPerTopic = aSettings.logPartitions;
   settings.turns.partitionsPerTopic = aSettings.logPartitions;
+  settings.keptTurns.partitionsPerTopic = aSettings.logPartitions;
   settings.logRetention = aSettings.logRetention;
   return settings;
 }
@@ -108,6 +109,9 @@
   this->budgets.SetCheckpointOwner([this](const std::string& aPartition) {
     return this->turnBudgets.IsOwner(aPartition);
   });
+  this->history.SetOwner([this](const std::string& aPartition) {
+    return this->turnBudgets.IsOwner(aPartition);
+  });
   if (this->settings.freshStart) {
     this->versions.OnNewFleet();
   }
--- a/program/program.h
+++ b/program/program.h
@@ -41,16 +41,19 @@
 // text of all earlier turns while the transcript is at most kMaxInlineBytes,
 // and the id of the previous turn otherwise. A record may be written in both
 // forms, both under the turn's id: they lead to the same transcript.
-// Invariant: a turn whose Store succeeded is found by every later Find that
-// can read the log. A record names the previous turn only if the records of the
-// earlier turns outlast the time for which this turn is kept.
+// A turn that is kept for longer than the log keeps records is also written to
+// a topic that forgets nothing by itself. Invariant: a turn whose Store
+// succeeded is found by every Find within its time that can read the log. A
+// record names the previous turn only if the records of the earlier turns
+// outlast the time for which this turn is kept.
 //
 // Cost: a grant is one append, plus a read if other hosts have written to the
 // partition since, or this host has not read it lately. A checkpoint is a read
 // and an append of a partition, a few times in the log's retention. Storing a
-// turn is one append. Finding a turn that is not
-// cached is one read for each candidate partition tried and each earlier turn
-// whose text is not inlined.
+// turn is one append, or two if it outlasts the log's records. Finding a turn
+// that is not cached is one read for each candidate partition tried and each
+// earlier turn whose text is not inlined, and up to three more where the log
+// has forgotten records.
 #ifndef TANAGERSEAM_PROGRAM_PROGRAM_H_
 #define TANAGERSEAM_PROGRAM_PROGRAM_H_
 
@@ -163,6 +166,7 @@
   std::string incarnation;
   PartitionLayout budgets{ "budgets-", 12, 12 };
   PartitionLayout turns{ "turns-", 80, 12 };
+  PartitionLayout keptTurns{ "keyed.turns-", 1, 12 };
   // A kBatch grant requests at least 1/grantDivisor of the tokens that are not
   // granted, as long as enough of them are left.
   int64_t grantDivisor = 4;
@@ -371,6 +375,8 @@
 using Transcript = std::shared_ptr<const std::string>;
 using HistoryResult = std::variant<Transcript, HistoryMiss>;
 
+class KeptTurns;
+
 class HistoryService
 {
 public:
@@ -383,7 +389,14 @@
   static constexpr Millis kEvictAfterIdle{ 120000 };
 
   HistoryService(RetryingLog& aLog, ProgramSettings aSettings);
+  ~HistoryService();
+  HistoryService(const HistoryService&) = delete;
+  HistoryService& operator=(const HistoryService&) = delete;
 
+  // This host tidies up the partitions for whose names aIsOwner is true.
+  void SetOwner(std::function<bool(const std::string&)> aIsOwner);
+  // Drops what need not be kept any more; call a few times a second.
+  void Tick(TimePoint aNow);
   // The transcript up to and including aTurn; aDone may run before Find
   // returns.
   void Find(const std::string& aOrganisation,
@@ -418,13 +431,28 @@
     TimePoint lastUsedAt{};
   };
   struct TurnRecord;
+  // A turn that is looked for in the log.
+  struct Lookup
+  {
+    std::string organisation;
+    std::string turn;
+    TimePoint deadline{};
+    std::function<void(const HistoryResult&)> done;
+    // A partition that was read has forgotten records.
+    bool hasForgotten = false;
+  };
 
   // Reads the candidate partition with index aCandidate, then the later ones.
-  void FindInCandidate(const std::string& aOrganisation,
-                       const std::string& aTurn,
-                       size_t aCandidate,
-                       TimePoint aDeadline,
-                       std::function<void(const HistoryResult&)> aDone);
+  void FindInCandidate(const std::shared_ptr<Lookup>& aLookup,
+                       size_t aCandidate);
+  void FindInCopies(const std::shared_ptr<Lookup>& aLookup);
+  // Null if no partition has the turn.
+  void OnLookedUp(const Lookup& aLookup, const TurnRecord* aFound);
+  // Writes the copy of a turn if it needs one.
+  void WriteCopy(const TurnWrite& aTurn,
+                 Millis aKeepFor,
+                 const WriteTurn& aWrite,
+                 std::function<void(const AppendResult&)> aDone);
   // Finds the earlier turns if the record does not contain them.
   void PrependPrior(const TurnRecord& aTurn,
                     TimePoint aDeadline,
@@ -443,6 +471,7 @@
 
   RetryingLog& log;
   ProgramSettings settings;
+  std::unique_ptr<KeptTurns> keptTurns;
   // Most recently used first.
   std::list<CacheEntry> cache;
   std::unordered_map<std::string, std::list<CacheEntry>::iterator> cacheById;
--- a/program/testing/host_log.h
+++ b/program/testing/host_log.h
@@ -47,6 +47,30 @@
                        });
   }
 
+  void AppendAll(const LogPartition& aPartition,
+                 const std::vector<std::string>& aRecords,
+                 Millis aTimeout,
+                 std::function<void(const AppendResult&)> aDone) override
+  {
+    if (this->lost) {
+      this->After(aTimeout, [aDone] { aDone(LogFault::kNoAnswer); });
+      return;
+    }
+    this->store.AppendAll(aPartition, aRecords, aTimeout, std::move(aDone));
+  }
+
+  void ReadNewest(const LogPartition& aPartition,
+                  const std::string& aAfterKey,
+                  Millis aTimeout,
+                  std::function<void(const NewestResult&)> aDone) override
+  {
+    if (this->lost) {
+      this->After(aTimeout, [aDone] { aDone(LogFault::kNoAnswer); });
+      return;
+    }
+    this->store.ReadNewest(aPartition, aAfterKey, aTimeout, std::move(aDone));
+  }
+
   void Read(const LogPartition& aPartition,
             int64_t aFrom,
             Millis aTimeout,
--- a/program/testing/memory_log.h
+++ b/program/testing/memory_log.h
@@ -50,6 +50,57 @@
     this->Post([aDone, offset] { aDone(Appended{ offset }); });
   }
 
+  void AppendAll(const LogPartition& aPartition,
+                 const std::vector<std::string>& aRecords,
+                 Millis aTimeout,
+                 std::function<void(const AppendResult&)> aDone) override
+  {
+    for (size_t i = 0; i + 1 < aRecords.size(); ++i) {
+      this->Append(
+        aPartition, aRecords[i], aTimeout, [](const AppendResult&) {});
+    }
+    this->Append(aPartition, aRecords.back(), aTimeout, std::move(aDone));
+  }
+
+  void ReadNewest(const LogPartition& aPartition,
+                  const std::string& aAfterKey,
+                  Millis,
+                  std::function<void(const NewestResult&)> aDone) override
+  {
+    ++this->newestReads;
+    if (this->down || this->IsDown(aPartition)) {
+      this->Post([aDone] { aDone(LogFault::kUnavailable); });
+      return;
+    }
+    NewestPage page;
+    for (const auto& entry : this->Newest(aPartition)) {
+      if (page.records.size() >= this->maxKeysOfAPage) {
+        page.more = true;
+        break;
+      }
+      if (entry.first > aAfterKey) {
+        page.records.push_back({ entry.first, entry.second, 0 });
+      }
+    }
+    this->Post([aDone, page] { aDone(page); });
+  }
+
+  // The newest values of the keys of a partition.
+  std::map<std::string, std::string> Newest(const LogPartition& aPartition)
+  {
+    std::map<std::string, std::string> newest;
+    for (const std::string& record : this->partitions[aPartition]) {
+      const size_t length = static_cast<unsigned char>(record[0]);
+      const std::string key = record.substr(1, length);
+      if (record.size() == 1 + length) {
+        newest.erase(key);
+      } else {
+        newest[key] = record.substr(1 + length);
+      }
+    }
+    return newest;
+  }
+
   void Read(const LogPartition& aPartition,
             int64_t aFrom,
             Millis,
@@ -100,6 +151,8 @@
 
   int appends = 0;
   int reads = 0;
+  int newestReads = 0;
+  size_t maxKeysOfAPage = 500;
   bool down = false;
   // Partitions whose appends and reads fail with kUnavailable.
   std::vector<LogPartition> unavailablePartitions;
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -44,6 +44,15 @@
   int64_t targetEnd = -1;
 };
 
+struct RetryingLog::NewestTask
+{
+  LogPartition partition;
+  std::string afterKey;
+  TimePoint deadline;
+  std::function<void(const NewestResult&)> done;
+  int attempts = 0;
+};
+
 RetryingLog::RetryingLog(asio::io_context& aIo, RecordLog& aLog)
   : io(aIo)
   , log(aLog)
@@ -78,15 +87,42 @@
     std::move(aRecord),
     aTimeout,
     [this, sentAt, done = std::move(aDone)](const AppendResult& aResult) {
-      if (std::holds_alternative<Appended>(aResult)) {
-        this->OnSuccess(sentAt);
-      } else {
-        this->OnFailure();
-      }
+      this->OnAttemptEnded(sentAt, aResult);
+      done(aResult);
+    });
+}
+
+void
+RetryingLog::AppendAllOnce(const LogPartition& aPartition,
+                           const std::vector<std::string>& aRecords,
+                           Millis aTimeout,
+                           std::function<void(const AppendResult&)> aDone)
+{
+  const TimePoint sentAt = BootNow();
+  this->log.AppendAll(
+    aPartition,
+    aRecords,
+    aTimeout,
+    [this, sentAt, done = std::move(aDone)](const AppendResult& aResult) {
+      this->OnAttemptEnded(sentAt, aResult);
       done(aResult);
     });
 }
 
+void
+RetryingLog::ReadNewest(const LogPartition& aPartition,
+                        const std::string& aAfterKey,
+                        TimePoint aDeadline,
+                        std::function<void(const NewestResult&)> aDone)
+{
+  auto task = std::make_shared<NewestTask>();
+  task->partition = aPartition;
+  task->afterKey = aAfterKey;
+  task->deadline = aDeadline;
+  task->done = std::move(aDone);
+  this->AttemptReadNewest(task);
+}
+
 void
 RetryingLog::ReadAll(const LogPartition& aPartition,
                      int64_t aFrom,
@@ -123,6 +159,16 @@
   return std::max(Millis(1), std::min(timeout, remaining));
 }
 
+void
+RetryingLog::OnAttemptEnded(TimePoint aSentAt, const AppendResult& aResult)
+{
+  if (std::holds_alternative<Appended>(aResult)) {
+    this->OnSuccess(aSentAt);
+  } else {
+    this->OnFailure();
+  }
+}
+
 void
 RetryingLog::OnSuccess(TimePoint aSentAt)
 {
@@ -217,6 +263,34 @@
                  });
 }
 
+void
+RetryingLog::AttemptReadNewest(const std::shared_ptr<NewestTask>& aTask)
+{
+  const TimePoint sentAt = BootNow();
+  this->log.ReadNewest(
+    aTask->partition,
+    aTask->afterKey,
+    this->AttemptTimeout(aTask->attempts, aTask->deadline, sentAt),
+    [this, aTask, sentAt](const NewestResult& aResult) {
+      const auto* fault = std::get_if<LogFault>(&aResult);
+      if (fault == nullptr) {
+        this->OnSuccess(sentAt);
+        aTask->done(aResult);
+        return;
+      }
+      this->OnFailure();
+      ++aTask->attempts;
+      if (*fault == LogFault::kRejected || BootNow() >= aTask->deadline) {
+        aTask->done(aResult);
+        return;
+      }
+      this->ScheduleRetry(aTask->attempts,
+                          *fault,
+                          aTask->deadline,
+                          [this, aTask] { this->AttemptReadNewest(aTask); });
+    });
+}
+
 void
 RetryingLog::OnReadFault(const std::shared_ptr<ReadTask>& aTask,
                          LogFault aFault)
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -38,6 +38,16 @@
                   std::string aRecord,
                   Millis aTimeout,
                   std::function<void(const AppendResult&)> aDone);
+  // The same with several records in one call.
+  void AppendAllOnce(const LogPartition& aPartition,
+                     const std::vector<std::string>& aRecords,
+                     Millis aTimeout,
+                     std::function<void(const AppendResult&)> aDone);
+  // One page of the newest records of keys after aAfterKey.
+  void ReadNewest(const LogPartition& aPartition,
+                  const std::string& aAfterKey,
+                  TimePoint aDeadline,
+                  std::function<void(const NewestResult&)> aDone);
   // Reads all records from aFrom to the end offset of the first response. A
   // page without records before that offset is read again.
   void ReadAll(const LogPartition& aPartition,
@@ -59,9 +69,11 @@
 private:
   struct AppendTask;
   struct ReadTask;
+  struct NewestTask;
 
   void AttemptAppend(const std::shared_ptr<AppendTask>& aTask);
   void AttemptRead(const std::shared_ptr<ReadTask>& aTask);
+  void AttemptReadNewest(const std::shared_ptr<NewestTask>& aTask);
   void OnReadFault(const std::shared_ptr<ReadTask>& aTask, LogFault aFault);
   void OnPage(const std::shared_ptr<ReadTask>& aTask, const RecordPage& aPage);
   // Retries at once if the response was lost, otherwise after an exponential
@@ -74,6 +86,8 @@
   Millis AttemptTimeout(int aAttempts,
                         TimePoint aDeadline,
                         TimePoint aNow) const;
+  // For a single attempt that was sent at aSentAt.
+  void OnAttemptEnded(TimePoint aSentAt, const AppendResult& aResult);
   void OnSuccess(TimePoint aSentAt);
   void OnFailure();
 
--- a/recordlog/recordlog.cc
+++ b/recordlog/recordlog.cc
@@ -30,4 +30,10 @@
   return "unknown";
 }
 
+std::string
+KeyedData(const std::string& aKey, const std::string& aValue)
+{
+  return std::string(1, static_cast<char>(aKey.size())) + aKey + aValue;
+}
+
 } // namespace tanagerseam
--- a/recordlog/recordlog.h
+++ b/recordlog/recordlog.h
@@ -4,6 +4,13 @@
 //              [](const AppendResult& aResult) { ... });
 //   log.Read({ "turns-3", 7 }, 0, timeout,
 //            [](const ReadResult& aResult) { ... });
+//   log.Append({ "keyed.turns-0", 7 }, KeyedData(key, value), timeout, done);
+//   log.ReadNewest({ "keyed.turns-0", 7 }, "", timeout,
+//                  [](const NewestResult& aResult) { ... });
+//
+// The log forgets a record after some time. In a topic whose name begins with
+// kKeyedTopicPrefix it keeps the newest record of each key for good, until the
+// key is dropped.
 //
 // Each call invokes its callback once, on the event loop's thread, after the
 // call has returned. An Append that is not acknowledged may still take effect,
@@ -28,6 +35,15 @@
 // the operators' sheets name.
 constexpr Millis kDefaultLogRetention{ 20000 };
 
+constexpr char kKeyedTopicPrefix[] = "keyed.";
+// Size of a key, in bytes.
+constexpr size_t kMaxKeyBytes = 255;
+
+// A record of a keyed topic. An empty value drops the key, which is at most
+// kMaxKeyBytes long.
+std::string
+KeyedData(const std::string& aKey, const std::string& aValue);
+
 struct LogPartition
 {
   std::string topic;
@@ -78,8 +94,27 @@
   std::vector<LogRecord> records;
 };
 
+// The newest record of one key.
+struct KeyedRecord
+{
+  std::string key;
+  std::string value;
+  int64_t offset = 0;
+};
+
+// The newest records of some keys of a partition, by key.
+struct NewestPage
+{
+  std::vector<KeyedRecord> records;
+  // Offset after the newest record of the partition.
+  int64_t end = 0;
+  // There are further keys after the last one.
+  bool more = false;
+};
+
 using AppendResult = std::variant<Appended, LogFault>;
 using ReadResult = std::variant<RecordPage, LogFault>;
+using NewestResult = std::variant<NewestPage, LogFault>;
 
 class RecordLog
 {
@@ -89,6 +124,17 @@
                       std::string aRecord,
                       Millis aTimeout,
                       std::function<void(const AppendResult&)> aDone) = 0;
+  // The same for several records, in one call; all are appended or none. The
+  // result names the first.
+  virtual void AppendAll(const LogPartition& aPartition,
+                         const std::vector<std::string>& aRecords,
+                         Millis aTimeout,
+                         std::function<void(const AppendResult&)> aDone) = 0;
+  // One page of the newest records of keys after aAfterKey, of a keyed topic.
+  virtual void ReadNewest(const LogPartition& aPartition,
+                          const std::string& aAfterKey,
+                          Millis aTimeout,
+                          std::function<void(const NewestResult&)> aDone) = 0;
   // One page of records from offset aFrom on, oldest first.
   virtual void Read(const LogPartition& aPartition,
                     int64_t aFrom,
