A whole turn does not wait for a log that is unavailable

And a grant that was credited while its answer was lost is no longer entered again as one to look for. gateway_test 130 passed, program_test 36 passed (without RandomHosts, 43 s, which passed before this change).

--- a/gateway/turn_budgets.cc
+++ b/gateway/turn_budgets.cc
@@ -223,21 +223,26 @@
 void
 TurnBudgets::SettleAndReturn(const TurnReservation& aReservation,
                              int64_t aUsedTokens,
-                             std::function<void()> aDone)
+                             const std::function<void()>& aDone)
 {
   const TokenRequest& request = aReservation.request;
   const int64_t unused = request.maxTokens - aUsedTokens;
   // To whoever made the reservation, all its tokens are used.
   this->Settle(aReservation, request.maxTokens);
-  if (unused == 0) {
+  const bool waits = unused != 0 && !this->log.IsUnavailable(BootNow());
+  if (unused != 0) {
+    this->budgetService.Return(request.program,
+                               request.programBudget,
+                               unused,
+                               [waits, aDone](bool /*aReturned*/) {
+                                 if (waits) {
+                                   aDone();
+                                 }
+                               });
+  }
+  if (!waits) {
     aDone();
-    return;
   }
-  this->budgetService.Return(
-    request.program,
-    request.programBudget,
-    unused,
-    [done = std::move(aDone)](bool /*aReturned*/) { done(); });
 }
 
 void
--- a/gateway/turn_budgets.h
+++ b/gateway/turn_budgets.h
@@ -94,10 +94,11 @@
   void Settle(const TurnReservation& aReservation, int64_t aUsedTokens);
   // The same for a turn of a program that is nearly spent. This host returns
   // the unused tokens to the log itself, since the owner may crash before it
-  // would. aDone runs once they are returned, or the log did not answer.
+  // would. aDone runs once they are returned, or the log did not answer, or at
+  // once if the log is unavailable.
   void SettleAndReturn(const TurnReservation& aReservation,
                        int64_t aUsedTokens,
-                       std::function<void()> aDone);
+                       const std::function<void()>& aDone);
   // Handle requests of other hosts for budgets that this host owns.
   void ReserveForPeer(const TokenRequest& aRequest,
                       Millis aTimeout,
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -222,7 +222,7 @@
     deadline,
     [this, aProgram, deadline](bool aCurrent) {
       if (!aCurrent) {
-        this->OnGrantUnanswered(aProgram);
+        this->OnGrantUnanswered(aProgram, "");
         return;
       }
       Program& current = this->programs[aProgram];
@@ -256,16 +256,19 @@
                             if (aApplied) {
                               this->OnGrantDecided(aProgram, record);
                             } else {
-                              this->uncreditedGrants[record.id].searchAt =
-                                BootNow();
-                              this->OnGrantUnanswered(aProgram);
+                              this->OnGrantUnanswered(aProgram, record.id);
                             }
                           });
 }
 
 void
-BudgetService::OnGrantUnanswered(const std::string& aProgram)
+BudgetService::OnGrantUnanswered(const std::string& aProgram,
+                                 const std::string& aGrant)
 {
+  const auto requested = this->uncreditedGrants.find(aGrant);
+  if (requested != this->uncreditedGrants.end()) {
+    requested->second.searchAt = BootNow();
+  }
   this->programs[aProgram].grantPending = false;
   this->FailExpiredWaiters(aProgram, BudgetVerdict::kUnavailable);
 }
--- a/program/program.h
+++ b/program/program.h
@@ -292,7 +292,9 @@
                     int64_t aTokens,
                     TimePoint aDeadline);
   void OnGrantDecided(const std::string& aProgram, const BudgetRecord& aRecord);
-  void OnGrantUnanswered(const std::string& aProgram);
+  // aGrant is empty if none was requested.
+  void OnGrantUnanswered(const std::string& aProgram,
+                         const std::string& aGrant);
   // Reads the log for grants that got no answer: the log may have accepted them
   // all the same, and then their tokens are unused.
   void SearchUnansweredGrants(TimePoint aNow);
