--- a/gateway/crash_checks.cc
+++ b/gateway/crash_checks.cc
@@ -33,12 +33,21 @@
   Check& check = *this->checks.at(aIncarnation);
   check.asked = false;
   check.brokeAgain = false;
-  check.timer.expires_after(aDelay);
-  check.timer.async_wait(
-    [weak = this->weak_from_this(), aIncarnation](const auto& aError) {
+  this->RunAfter(aIncarnation, aDelay, &CrashChecks::Ask);
+}
+
+void
+CrashChecks::RunAfter(const std::string& aIncarnation,
+                      Millis aDelay,
+                      void (CrashChecks::*aStep)(const std::string&))
+{
+  restinio::asio_ns::steady_timer& timer = this->checks.at(aIncarnation)->timer;
+  timer.expires_after(aDelay);
+  timer.async_wait(
+    [weak = this->weak_from_this(), aIncarnation, aStep](const auto& aError) {
       const auto self = weak.lock();
       if (!aError && self) {
-        self->Ask(aIncarnation);
+        ((*self).*aStep)(aIncarnation);
       }
     });
 }
@@ -68,15 +77,7 @@
   if (aState == ListenState::kRefused) {
     this->onDown(aIncarnation);
   }
-  Check& check = *this->checks.at(aIncarnation);
-  check.timer.expires_after(kMinInterval);
-  check.timer.async_wait(
-    [weak = this->weak_from_this(), aIncarnation](const auto& aError) {
-      const auto self = weak.lock();
-      if (!aError && self) {
-        self->OnPauseEnded(aIncarnation);
-      }
-    });
+  this->RunAfter(aIncarnation, kMinInterval, &CrashChecks::OnPauseEnded);
 }
 
 void
--- a/gateway/crash_checks.h
+++ b/gateway/crash_checks.h
@@ -63,6 +63,10 @@
   };
 
   void AskAfter(const std::string& aIncarnation, Millis aDelay);
+  // Runs a step of the check after aDelay, unless this object has gone.
+  void RunAfter(const std::string& aIncarnation,
+                Millis aDelay,
+                void (CrashChecks::*aStep)(const std::string&));
   void Ask(const std::string& aIncarnation);
   void OnAnswer(const std::string& aIncarnation, ListenState aState);
   // kMinInterval has passed since the last question.
--- a/gateway/gateway_state.cc
+++ b/gateway/gateway_state.cc
@@ -106,12 +106,11 @@
                 aDependencies.metrics)
   , random(std::random_device{}())
 {
-  this->budgets.SetCheckpointOwner([this](const std::string& aPartition) {
+  const auto isOwner = [this](const std::string& aPartition) {
     return this->turnBudgets.IsOwner(aPartition);
-  });
-  this->history.SetOwner([this](const std::string& aPartition) {
-    return this->turnBudgets.IsOwner(aPartition);
-  });
+  };
+  this->budgets.SetCheckpointOwner(isOwner);
+  this->history.SetOwner(isOwner);
   if (this->settings.freshStart) {
     this->versions.OnNewFleet();
   }
--- a/program/budget_checkpoints.cc
+++ b/program/budget_checkpoints.cc
@@ -28,13 +28,8 @@
   // Not all at once after a start.
   const Millis interval = this->logRetention / BudgetLog::kReadsPerRetention;
   std::uniform_int_distribution<int64_t> draw(0, interval.count());
-  const PartitionLayout& layout = aSettings.budgets;
-  for (int topic = 0; topic < layout.topicCount; ++topic) {
-    for (int number = 0; number < layout.partitionsPerTopic; ++number) {
-      const LogPartition partition{ layout.topicPrefix + std::to_string(topic),
-                                    number };
-      this->dueAt[partition] = BootNow() + Millis(draw(this->random));
-    }
+  for (const LogPartition& partition : AllPartitions(aSettings.budgets)) {
+    this->dueAt[partition] = BootNow() + Millis(draw(this->random));
   }
 }
 
@@ -54,9 +49,7 @@
     }
     const LogPartition partition = entry.first;
     entry.second = aNow + this->logRetention / BudgetLog::kReadsPerRetention;
-    const std::string name =
-      partition.topic + "/" + std::to_string(partition.number);
-    if (!this->isOwner(name)) {
+    if (!this->isOwner(NameOf(partition))) {
       continue;
     }
     ++readings;
--- a/program/budget_service.cc
+++ b/program/budget_service.cc
@@ -142,8 +142,9 @@
 bool
 BudgetService::IsNearlySpent(const std::string& aProgram, int64_t aTurnTokens)
 {
-  const int64_t kept = kTurnsKeptOutside * aTurnTokens;
-  return this->OutsideTokens(aProgram, this->programs[aProgram].budget) < kept;
+  const int64_t granted = 0;
+  return !this->LeavesEnough(
+    aProgram, this->programs[aProgram], granted, aTurnTokens);
 }
 
 bool
--- a/program/kept_turns.cc
+++ b/program/kept_turns.cc
@@ -117,12 +117,11 @@
 std::optional<std::string>
 KeptTurns::RecordIn(const std::string& aData)
 {
-  const size_t valueAt = 1 + kKeyLength;
-  if (aData.size() <= valueAt ||
-      static_cast<unsigned char>(aData[0]) != kKeyLength) {
+  const auto pair = ParseKeyedData(aData);
+  if (!pair || pair->key.size() != kKeyLength || pair->value.empty()) {
     return std::nullopt;
   }
-  const auto copy = ParseCopy(aData.substr(valueAt));
+  const auto copy = ParseCopy(pair->value);
   return copy ? std::optional<std::string>(copy->record) : std::nullopt;
 }
 
@@ -187,14 +186,9 @@
     return;
   }
   this->sweepAt = aNow + kSweepInterval;
-  for (int topic = 0; topic < this->layout.topicCount; ++topic) {
-    for (int number = 0; number < this->layout.partitionsPerTopic; ++number) {
-      const LogPartition partition{
-        this->layout.topicPrefix + std::to_string(topic), number
-      };
-      if (this->isOwner(partition.topic + "/" + std::to_string(number))) {
-        this->Sweep(partition, "");
-      }
+  for (const LogPartition& partition : AllPartitions(this->layout)) {
+    if (this->isOwner(NameOf(partition))) {
+      this->Sweep(partition, "");
     }
   }
 }
--- a/program/partition_layout.cc
+++ b/program/partition_layout.cc
@@ -15,6 +15,25 @@
   return partition;
 }
 
+std::vector<LogPartition>
+AllPartitions(const PartitionLayout& aLayout)
+{
+  std::vector<LogPartition> partitions;
+  for (int topic = 0; topic < aLayout.topicCount; ++topic) {
+    for (int number = 0; number < aLayout.partitionsPerTopic; ++number) {
+      partitions.push_back(
+        { aLayout.topicPrefix + std::to_string(topic), number });
+    }
+  }
+  return partitions;
+}
+
+std::string
+NameOf(const LogPartition& aPartition)
+{
+  return aPartition.topic + "/" + std::to_string(aPartition.number);
+}
+
 std::vector<LogPartition>
 CandidatePartitions(const PartitionLayout& aLayout, const std::string& aKey)
 {
--- a/program/program.h
+++ b/program/program.h
@@ -81,6 +81,13 @@
 LogPartition
 PartitionOf(const PartitionLayout& aLayout, const std::string& aKey);
 
+std::vector<LogPartition>
+AllPartitions(const PartitionLayout& aLayout);
+
+// As an owner is asked for.
+std::string
+NameOf(const LogPartition& aPartition);
+
 // The partition of aKey, followed by two fallbacks for failed appends.
 std::vector<LogPartition>
 CandidatePartitions(const PartitionLayout& aLayout, const std::string& aKey);
--- a/program/testing/memory_log.h
+++ b/program/testing/memory_log.h
@@ -90,12 +90,11 @@
   {
     std::map<std::string, std::string> newest;
     for (const std::string& record : this->partitions[aPartition]) {
-      const size_t length = static_cast<unsigned char>(record[0]);
-      const std::string key = record.substr(1, length);
-      if (record.size() == 1 + length) {
-        newest.erase(key);
+      const KeyedPair pair = ParseKeyedData(record).value();
+      if (pair.value.empty()) {
+        newest.erase(pair.key);
       } else {
-        newest[key] = record.substr(1 + length);
+        newest[pair.key] = pair.value;
       }
     }
     return newest;
--- a/recordlog/persistent_log.cc
+++ b/recordlog/persistent_log.cc
@@ -211,6 +211,24 @@
   });
 }
 
+template<typename Task>
+void
+RetryingLog::RetryOrFail(const std::shared_ptr<Task>& aTask,
+                         LogFault aFault,
+                         Attempt<Task> aAttempt)
+{
+  this->OnFailure();
+  ++aTask->attempts;
+  if (aFault == LogFault::kRejected || BootNow() >= aTask->deadline) {
+    aTask->done(aFault);
+    return;
+  }
+  this->ScheduleRetry(aTask->attempts,
+                      aFault,
+                      aTask->deadline,
+                      [this, aTask, aAttempt] { (this->*aAttempt)(aTask); });
+}
+
 void
 RetryingLog::AttemptAppend(const std::shared_ptr<AppendTask>& aTask)
 {
@@ -232,17 +250,8 @@
         aTask->done(aResult);
         return;
       }
-      this->OnFailure();
-      ++aTask->attempts;
       aTask->lastFault = *fault;
-      if (*fault == LogFault::kRejected || BootNow() >= aTask->deadline) {
-        aTask->done(aResult);
-        return;
-      }
-      this->ScheduleRetry(aTask->attempts,
-                          *fault,
-                          aTask->deadline,
-                          [this, aTask] { this->AttemptAppend(aTask); });
+      this->RetryOrFail(aTask, *fault, &RetryingLog::AttemptAppend);
     });
 }
 
@@ -255,7 +264,8 @@
                  this->AttemptTimeout(aTask->attempts, aTask->deadline, sentAt),
                  [this, aTask, sentAt](const ReadResult& aResult) {
                    if (const auto* fault = std::get_if<LogFault>(&aResult)) {
-                     this->OnReadFault(aTask, *fault);
+                     this->RetryOrFail(
+                       aTask, *fault, &RetryingLog::AttemptRead);
                      return;
                    }
                    this->OnSuccess(sentAt);
@@ -278,34 +288,10 @@
         aTask->done(aResult);
         return;
       }
-      this->OnFailure();
-      ++aTask->attempts;
-      if (*fault == LogFault::kRejected || BootNow() >= aTask->deadline) {
-        aTask->done(aResult);
-        return;
-      }
-      this->ScheduleRetry(aTask->attempts,
-                          *fault,
-                          aTask->deadline,
-                          [this, aTask] { this->AttemptReadNewest(aTask); });
+      this->RetryOrFail(aTask, *fault, &RetryingLog::AttemptReadNewest);
     });
 }
 
-void
-RetryingLog::OnReadFault(const std::shared_ptr<ReadTask>& aTask,
-                         LogFault aFault)
-{
-  this->OnFailure();
-  ++aTask->attempts;
-  if (aFault == LogFault::kRejected || BootNow() >= aTask->deadline) {
-    aTask->done(aFault);
-    return;
-  }
-  this->ScheduleRetry(aTask->attempts, aFault, aTask->deadline, [this, aTask] {
-    this->AttemptRead(aTask);
-  });
-}
-
 void
 RetryingLog::OnPage(const std::shared_ptr<ReadTask>& aTask,
                     const RecordPage& aPage)
@@ -329,7 +315,7 @@
               { "partition", std::to_string(aTask->partition.number) },
               { "from", std::to_string(readFrom) },
               { "end", std::to_string(aTask->targetEnd) } });
-    this->OnReadFault(aTask, LogFault::kUnavailable);
+    this->RetryOrFail(aTask, LogFault::kUnavailable, &RetryingLog::AttemptRead);
     return;
   }
   this->AttemptRead(aTask);
--- a/recordlog/persistent_log.h
+++ b/recordlog/persistent_log.h
@@ -74,8 +74,15 @@
   void AttemptAppend(const std::shared_ptr<AppendTask>& aTask);
   void AttemptRead(const std::shared_ptr<ReadTask>& aTask);
   void AttemptReadNewest(const std::shared_ptr<NewestTask>& aTask);
-  void OnReadFault(const std::shared_ptr<ReadTask>& aTask, LogFault aFault);
   void OnPage(const std::shared_ptr<ReadTask>& aTask, const RecordPage& aPage);
+  template<typename Task>
+  using Attempt = void (RetryingLog::*)(const std::shared_ptr<Task>&);
+  // An attempt has failed: schedules the next one, or ends the task if there is
+  // no use in one or no time left.
+  template<typename Task>
+  void RetryOrFail(const std::shared_ptr<Task>& aTask,
+                   LogFault aFault,
+                   Attempt<Task> aAttempt);
   // Retries at once if the response was lost, otherwise after an exponential
   // backoff, and a last time at aDeadline.
   void ScheduleRetry(int aAttempts,
--- a/recordlog/recordlog.h
+++ b/recordlog/recordlog.h
@@ -22,6 +22,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -44,6 +45,17 @@
 std::string
 KeyedData(const std::string& aKey, const std::string& aValue);
 
+// Key and value of such a record; nothing if aData is none.
+struct KeyedPair
+{
+  std::string key;
+  // Empty: the key is dropped.
+  std::string value;
+};
+
+std::optional<KeyedPair>
+ParseKeyedData(const std::string& aData);
+
 struct LogPartition
 {
   std::string topic;
